--- /dev/null
+++ b/src/sassafrashold/__init__.py
@@ -0,0 +1,1 @@
+"""A query tier over many shards: entry, leaf ownership and control."""
--- /dev/null
+++ b/src/sassafrashold/documents.py
@@ -0,0 +1,55 @@
+"""Checked access to the fields of stored JSON documents."""
+
+import json
+from typing import Any
+from typing import TypeVar
+
+from sassafrashold import errors
+
+_ValueT = TypeVar("_ValueT")
+
+
+def parse(key: str, data: bytes) -> dict[str, Any]:
+    """Parses a stored document.
+
+    Args:
+        key: Key of the object, for messages.
+        data: UTF-8 JSON with an object at the top.
+
+    Raises:
+        DocumentError: The bytes are not such a document.
+    """
+    try:
+        value = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise invalid(key, str(error)) from error
+    if not isinstance(value, dict):
+        raise invalid(key, "expected a JSON object")
+    return value
+
+
+def dump(value: Any) -> bytes:
+    """Returns compact UTF-8 JSON."""
+    return json.dumps(value, separators=(",", ":"), ensure_ascii=False).encode()
+
+
+def get(
+    key: str, document: dict[str, Any], name: str, kind: type[_ValueT]
+) -> _ValueT:
+    """Returns a field after a check of its type.
+
+    Raises:
+        DocumentError: The field is missing or of another type.
+    """
+    value = document.get(name)
+    wrong_bool = isinstance(value, bool) and kind is not bool
+    if not isinstance(value, kind) or wrong_bool:
+        raise invalid(key, f"{name}: expected {kind.__name__}")
+    return value
+
+
+def invalid(key: str, message: str) -> errors.DocumentError:
+    """Returns the error for an unreadable document."""
+    return errors.DocumentError(
+        errors.ErrorCode.BAD_DOCUMENT, f"{key}: {message}"
+    )
--- /dev/null
+++ b/src/sassafrashold/rpc/_client.py
@@ -0,0 +1,320 @@
+"""The calling side: one connection to one peer, reopened on demand."""
+
+import asyncio
+from collections.abc import AsyncGenerator
+import contextlib
+import dataclasses
+import datetime
+import itertools
+from typing import Any
+
+from sassafrashold import clock as clock_lib
+from sassafrashold import errors
+from sassafrashold import settings
+from sassafrashold import telemetry
+from sassafrashold import wire
+from sassafrashold.rpc import _frames
+
+_CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
+
+
+@dataclasses.dataclass(frozen=True)
+class _Item:
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class _Result:
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class _Failure:
+    error: errors.RpcError
+
+
+_Event = _Item | _Result | _Failure
+
+
+class Client:
+    """Calls methods of one peer over one connection.
+
+    Every call has its own correlation id. A frame for an id that no call waits
+    for (a late answer) is dropped and counted, so it never reaches another
+    call.
+    """
+
+    def __init__(
+        self,
+        address: settings.Address,
+        clock: clock_lib.Clock,
+        metrics: telemetry.Metrics | None = None,
+    ) -> None:
+        self._address = address
+        self._clock = clock
+        self._metrics = metrics or telemetry.NullMetrics()
+        self._ids = itertools.count(1)
+        self._events_by_id: dict[int, asyncio.Queue[_Event]] = {}
+        self._writer: asyncio.StreamWriter | None = None
+        self._reader_task: asyncio.Task[None] | None = None
+        self._connect_lock = asyncio.Lock()
+
+    @property
+    def address(self) -> settings.Address:
+        """Address of the peer."""
+        return self._address
+
+    async def call(
+        self,
+        method: str,
+        body: bytes,
+        *,
+        deadline: datetime.datetime,
+        traceparent: str | None = None,
+    ) -> bytes:
+        """Calls a method and returns its result.
+
+        Args:
+            method: Name of the method.
+            body: The encoded message.
+            deadline: Wall time at which to give up; sent to the peer.
+            traceparent: W3C trace context.
+
+        Raises:
+            RpcError: With `ran` NOT_RUN only if the request was certainly not
+                run: it was not sent, or the peer said so.
+        """
+        async with contextlib.aclosing(
+            self._events(method, body, deadline, traceparent)
+        ) as events:
+            async for event in events:
+                match event:
+                    case _Result():
+                        return event.body
+                    case _Item():
+                        continue
+                    case _Failure():
+                        raise event.error
+        raise AssertionError("unreachable: events end with a result")
+
+    async def stream(
+        self,
+        method: str,
+        body: bytes,
+        *,
+        deadline: datetime.datetime,
+        traceparent: str | None = None,
+    ) -> AsyncGenerator[bytes, None]:
+        """Calls a method and yields its items, and last its final result.
+
+        Closing the iterator before its end cancels the request.
+
+        Raises:
+            RpcError: As in `call`.
+        """
+        async with contextlib.aclosing(
+            self._events(method, body, deadline, traceparent)
+        ) as events:
+            async for event in events:
+                match event:
+                    case _Item() | _Result():
+                        yield event.body
+                    case _Failure():
+                        raise event.error
+
+    async def close(self) -> None:
+        """Closes the connection; calls under way fail."""
+        if self._reader_task is not None:
+            self._reader_task.cancel()
+        self._drop_connection("client closed")
+
+    async def _events(
+        self,
+        method: str,
+        body: bytes,
+        deadline: datetime.datetime,
+        traceparent: str | None,
+    ) -> AsyncGenerator[_Event, None]:
+        """Sends a request and yields its events up to the last one."""
+        writer = await self._connected(deadline)
+        correlation_id = next(self._ids)
+        data = _frames.pack(
+            wire.messages.Frame(
+                correlation_id=correlation_id,
+                kind=wire.messages.FrameKind.REQUEST,
+                method=method,
+                body=body,
+                traceparent=traceparent,
+                deadline_unix_ms=clock_lib.to_unix_ms(deadline),
+            )
+        )
+        queue: asyncio.Queue[_Event] = asyncio.Queue()
+        self._events_by_id[correlation_id] = queue
+        finished = False
+        try:
+            writer.write(data)
+            while not finished:
+                event = await self._next_event(queue, deadline, method)
+                # After a local timeout the peer still works: cancel it below.
+                finished = not isinstance(event, _Item) and not (
+                    isinstance(event, _Failure)
+                    and event.error.code is errors.ErrorCode.DEADLINE_EXCEEDED
+                )
+                yield event
+                if isinstance(event, _Failure):
+                    return
+        finally:
+            self._events_by_id.pop(correlation_id, None)
+            if not finished and writer is self._writer:
+                writer.write(_cancel_frame(correlation_id))
+
+    async def _next_event(
+        self,
+        queue: asyncio.Queue[_Event],
+        deadline: datetime.datetime,
+        method: str,
+    ) -> _Event:
+        remaining = (deadline - self._clock.now()).total_seconds()
+        try:
+            async with asyncio.timeout(max(0.0, remaining)):
+                return await queue.get()
+        except TimeoutError:
+            return _Failure(
+                errors.RpcError(
+                    errors.ErrorCode.DEADLINE_EXCEEDED,
+                    f"no answer to {method} from {self._address} in time",
+                    ran=errors.Ran.OUTCOME_UNKNOWN,
+                )
+            )
+
+    async def _connected(
+        self, deadline: datetime.datetime
+    ) -> asyncio.StreamWriter:
+        """Returns an open connection.
+
+        Raises:
+            RpcError: UNAVAILABLE or DEADLINE_EXCEEDED, not run.
+        """
+        remaining = (deadline - self._clock.now()).total_seconds()
+        if remaining <= 0:
+            raise errors.RpcError(
+                errors.ErrorCode.DEADLINE_EXCEEDED,
+                f"no time left to call {self._address}",
+            )
+        if self._writer is not None and not self._writer.is_closing():
+            return self._writer
+        try:
+            async with asyncio.timeout(
+                min(remaining, _CONNECT_TIMEOUT.total_seconds())
+            ):
+                async with self._connect_lock:
+                    return await self._connect()
+        except (OSError, TimeoutError) as error:
+            raise errors.RpcError(
+                errors.ErrorCode.UNAVAILABLE,
+                f"cannot connect to {self._address}: {error}",
+            ) from error
+
+    async def _connect(self) -> asyncio.StreamWriter:
+        if self._writer is not None and not self._writer.is_closing():
+            return self._writer
+        reader, writer = await asyncio.open_connection(
+            self._address.ip, self._address.port
+        )
+        _frames.detect_dead_peer(writer)
+        self._writer = writer
+        self._reader_task = asyncio.create_task(self._read(reader, writer))
+        return writer
+
+    async def _read(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Delivers frames to their calls until the connection ends."""
+        reason = "connection closed by the peer"
+        try:
+            while True:
+                self._deliver(await _frames.read(reader))
+        except errors.RpcError as error:
+            self._metrics.count("rpc.bad_frames")
+            reason = f"invalid frame from the peer: {error.message}"
+        except (asyncio.IncompleteReadError, OSError) as error:
+            reason = f"connection lost: {error}"
+        finally:
+            writer.close()
+            if writer is self._writer:
+                self._drop_connection(reason)
+
+    def _deliver(self, frame: Any) -> None:
+        queue = self._events_by_id.get(frame.correlation_id)
+        if queue is None:
+            self._metrics.count("rpc.late_frames")
+            return
+        kind = wire.messages.FrameKind
+        if frame.kind == kind.ITEM:
+            queue.put_nowait(_Item(frame.body or b""))
+        elif frame.kind == kind.RESPONSE:
+            queue.put_nowait(_Result(frame.body or b""))
+        elif frame.kind == kind.ERROR and frame.error is not None:
+            queue.put_nowait(_Failure(wire.error_from_wire(frame.error)))
+        else:
+            raise errors.RpcError(
+                errors.ErrorCode.BAD_FRAME, "unexpected frame kind"
+            )
+
+    def _drop_connection(self, reason: str) -> None:
+        """Fails all calls that wait on the connection."""
+        if self._writer is not None:
+            self._writer.close()
+        self._writer = None
+        queues = list(self._events_by_id.values())
+        self._events_by_id.clear()
+        for queue in queues:
+            queue.put_nowait(
+                _Failure(
+                    errors.RpcError(
+                        errors.ErrorCode.CONNECTION_LOST,
+                        f"{self._address}: {reason}",
+                        ran=errors.Ran.OUTCOME_UNKNOWN,
+                    )
+                )
+            )
+
+
+class Pool:
+    """One client per peer address."""
+
+    def __init__(
+        self,
+        clock: clock_lib.Clock,
+        metrics: telemetry.Metrics | None = None,
+    ) -> None:
+        self._clock = clock
+        self._metrics = metrics
+        self._client_by_address: dict[settings.Address, Client] = {}
+
+    def get(self, address: settings.Address) -> Client:
+        """Returns the client for a peer; connects on its first call."""
+        client = self._client_by_address.get(address)
+        if client is None:
+            client = Client(address, self._clock, self._metrics)
+            self._client_by_address[address] = client
+        return client
+
+    async def retain(self, addresses: frozenset[settings.Address]) -> None:
+        """Closes the clients of all peers that are not in `addresses`."""
+        for address in list(self._client_by_address):
+            if address not in addresses:
+                await self._client_by_address.pop(address).close()
+
+    async def close(self) -> None:
+        """Closes all clients."""
+        await self.retain(frozenset())
+
+
+def _cancel_frame(correlation_id: int) -> bytes:
+    return _frames.pack(
+        wire.messages.Frame(
+            correlation_id=correlation_id,
+            kind=wire.messages.FrameKind.CANCEL,
+        )
+    )
--- /dev/null
+++ b/src/sassafrashold/rpc/_frames.py
@@ -0,0 +1,66 @@
+"""Reading and writing of single frames."""
+
+import asyncio
+import socket
+import struct
+from typing import Any
+
+from sassafrashold import errors
+from sassafrashold import wire
+
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+_LENGTH = struct.Struct(">I")
+
+# A peer that vanished without a reset is noticed within about 5 s.
+_DEAD_PEER_MS = 5000
+_KEEPALIVE_IDLE_S = 2
+_KEEPALIVE_INTERVAL_S = 1
+_KEEPALIVE_PROBES = 3
+
+
+def pack(frame: Any) -> bytes:
+    """Returns a frame with its length before it.
+
+    Raises:
+        RpcError: FRAME_TOO_LARGE; nothing was sent.
+    """
+    data = wire.encode(frame)
+    if len(data) > MAX_FRAME_BYTES:
+        raise errors.RpcError(
+            errors.ErrorCode.FRAME_TOO_LARGE,
+            f"message has {len(data)} bytes, at most {MAX_FRAME_BYTES}",
+        )
+    return _LENGTH.pack(len(data)) + data
+
+
+async def read(reader: asyncio.StreamReader) -> Any:
+    """Reads one frame.
+
+    Raises:
+        RpcError: BAD_FRAME or FRAME_TOO_LARGE; the connection is unusable.
+        asyncio.IncompleteReadError, OSError: The connection ended.
+    """
+    (length,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
+    if length > MAX_FRAME_BYTES:
+        raise errors.RpcError(
+            errors.ErrorCode.FRAME_TOO_LARGE,
+            f"frame of {length} bytes announced, at most {MAX_FRAME_BYTES}",
+        )
+    data = await reader.readexactly(length)
+    try:
+        return wire.decode(wire.messages.Frame, data)
+    except wire.CodecError as error:
+        raise errors.RpcError(errors.ErrorCode.BAD_FRAME, str(error)) from error
+
+
+def detect_dead_peer(writer: asyncio.StreamWriter) -> None:
+    """Makes the kernel end the connection when the peer stops answering."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for name, value in (
+        (socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
+        (socket.TCP_USER_TIMEOUT, _DEAD_PEER_MS),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, name, value)
