--- /dev/null
+++ b/src/sassafrashold/platform/tests/test_lost_answers_are_resolved.py
@@ -0,0 +1,106 @@
+import asyncio
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from sassafrashold import clock as clock_lib
+from sassafrashold import errors
+from sassafrashold import platform
+
+_CLOCK = clock_lib.ManualClock()
+_NO_DELAY = platform.Backoff(attempts=4, base=0 * platform.Backoff().base)
+_FAULTS = strategies.lists(strategies.sampled_from(platform.Fault), max_size=8)
+
+
+def _put(store, value, expected_version):
+    return platform.put_resolved(
+        store,
+        "k",
+        value,
+        expected_version,
+        lambda found: value in found,
+        clock=_CLOCK,
+        backoff=_NO_DELAY,
+    )
+
+
+def _versions_with(store, value):
+    """Returns how often the store took the write."""
+    return sum(
+        stored is not None and stored.value == value
+        for stored in store._history_by_key.get("k", [])
+    )
+
+
+class _RacedStore(platform.MemoryStore):
+    """A store in which a rival changes the object before the n-th call."""
+
+    def __init__(self, faults, rival_at):
+        super().__init__()
+        self.faults.extend(faults)
+        self._calls_left = rival_at
+
+    async def get(self, key):
+        await self._maybe_rival(key)
+        return await super().get(key)
+
+    async def put(self, key, value, expected_version):
+        await self._maybe_rival(key)
+        return await super().put(key, value, expected_version)
+
+    async def _maybe_rival(self, key):
+        self._calls_left -= 1
+        if self._calls_left == 0:
+            found = self.current(key)
+            base = found.value if found else b""
+            await self._apply(key, base + b"+rival")
+
+
+@hypothesis.given(_FAULTS, strategies.integers(0, 6))
+def test_an_outcome_is_stated_only_when_it_is_final(faults, rival_at):
+    async def run():
+        store = _RacedStore(faults, rival_at)
+        try:
+            outcome = await _put(store, b"ours", 0)
+        except errors.StoreError as error:
+            outcome = error
+        before = _versions_with(store, b"ours")
+        await store.deliver_delayed()
+        after = _versions_with(store, b"ours")
+        assert after <= 1
+        if isinstance(outcome, platform.Stored):
+            assert (before, after) == (1, 1)
+            assert b"ours" in outcome.value
+        elif outcome.ran is errors.Ran.NOT_RUN:
+            assert after == 0
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("faults", "writes"),
+    [
+        ([platform.Fault.LOST_ANSWER], 1),
+        ([platform.Fault.LOST_REQUEST], 2),
+        ([platform.Fault.DELAYED], 2),
+        ([platform.Fault.LOST_ANSWER, platform.Fault.STALE], 2),
+        ([platform.Fault.LOST_ANSWER, platform.Fault.DOWN], 1),
+    ],
+)
+async def test_a_lost_answer_costs_the_caller_nothing(faults, writes):
+    store = platform.MemoryStore()
+    store.faults.extend(faults)
+    assert await _put(store, b"ours", 0) == platform.Stored("k", 1, b"ours")
+    await store.deliver_delayed()
+    assert _versions_with(store, b"ours") == 1
+    assert store.calls["put"] == writes
+
+
+async def test_an_outage_after_a_lost_answer_stays_ambiguous():
+    store = platform.MemoryStore()
+    store.faults.append(platform.Fault.LOST_REQUEST)
+    store.choose_fault = lambda method, key: platform.Fault.DOWN
+    with pytest.raises(errors.StoreError) as caught:
+        await _put(store, b"ours", 0)
+    assert caught.value.ran is errors.Ran.OUTCOME_UNKNOWN
