Add edits of the table, CSV, history and merging

Operators edit one stored object, so edits have to be conditional updates whose lost answers are resolved and whose races neither lose nor revert an accepted edit. Old edits move to chunks of history before they leave the table. A few large imports could fill the object before 50 edits are reached, so edits also move once they exceed 256 KB. Names no longer accept a trailing newline, and hedge_percent keeps all digits in its stored form.

--- a/src/sassafrashold/platform/_memory.py
+++ b/src/sassafrashold/platform/_memory.py
@@ -29,7 +29,7 @@
     """A write reaches the store only at `deliver_delayed`."""
 
     STALE = "stale"
-    """A read sees the object as it was before its last change."""
+    """A read sees the object as it was `stale_depth` changes ago."""
 
 
 class MemoryStore:
@@ -42,6 +42,7 @@
         down: Makes every call fail.
         faults: Faults of the next calls.
         choose_fault: Gets the method and key when `faults` is empty.
+        stale_depth: How many changes a stale read misses.
         calls: Number of calls by method.
     """
 
@@ -51,6 +52,7 @@
         self.down = False
         self.faults: collections.deque[Fault] = collections.deque()
         self.choose_fault = choose_fault or (lambda method, key: Fault.NONE)
+        self.stale_depth = 1
         self.calls: collections.Counter[str] = collections.Counter()
         self._history_by_key: dict[str, list[_interface.Stored | None]] = {}
         self._version_by_key: dict[str, int] = {}
@@ -59,7 +61,7 @@
         self._host_list = (0, b'{"as_of_unix_ms":0,"hosts":[]}')
 
     async def get(self, key: str) -> _interface.Stored | None:
-        """Returns the object, or the one before it if the fault is STALE."""
+        """Returns the object, or an earlier one if the fault is STALE."""
         return self._read("get", key)
 
     async def put(self, key: str, value: bytes, expected_version: int) -> int:
@@ -110,6 +112,11 @@
         """Returns the object without a call, for assertions."""
         return self._current(key)
 
+    def versions(self, key: str) -> tuple[_interface.Stored, ...]:
+        """Returns all values that the object ever had, for assertions."""
+        history = self._history_by_key.get(key, [])
+        return tuple(stored for stored in history if stored is not None)
+
     async def deliver_delayed(self) -> None:
         """Lets the delayed writes reach the store."""
         delayed, self._delayed = self._delayed, []
@@ -132,7 +139,8 @@
         if self._next_fault(method, key) is not Fault.STALE:
             return self._current(key)
         history = self._history_by_key.get(key, [])
-        return history[-2] if len(history) >= 2 else None
+        kept = len(history) - self.stale_depth
+        return history[kept - 1] if kept > 0 else None
 
     async def _write(
         self, method: str, key: str, value: bytes | None, expected_version: int
--- /dev/null
+++ b/src/sassafrashold/platform/tests/stepped_store.py
@@ -0,0 +1,79 @@
+"""A store whose calls a test lets through one by one; for interleavings."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from sassafrashold import platform
+
+
+class SteppedStore(platform.MemoryStore):
+    """A `MemoryStore` whose calls wait until they are released.
+
+    Attributes:
+        open: Lets every call through at once.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.open = False
+        self._waiting: list[asyncio.Future[platform.Fault]] = []
+
+    @property
+    def waiting(self) -> int:
+        """Number of calls that wait."""
+        self._waiting = [call for call in self._waiting if not call.done()]
+        return len(self._waiting)
+
+    def release(self, position: int, fault: platform.Fault) -> None:
+        """Lets one of the waiting calls run, with a fault."""
+        self._waiting.pop(position).set_result(fault)
+
+    async def get(self, key: str) -> platform.Stored | None:
+        """Waits, then reads."""
+        await self._wait()
+        return await super().get(key)
+
+    async def put(self, key: str, value: bytes, expected_version: int) -> int:
+        """Waits, then writes."""
+        await self._wait()
+        return await super().put(key, value, expected_version)
+
+    async def _wait(self) -> None:
+        if self.open:
+            self.faults.append(platform.Fault.NONE)
+            return
+        call: asyncio.Future[platform.Fault] = asyncio.Future()
+        self._waiting.append(call)
+        self.faults.append(await call)
+
+
+class Loop:
+    """An event loop that runs tasks until all of them wait."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.new_event_loop()
+
+    def start(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Starts a task."""
+        task = self._loop.create_task(coroutine)
+        self.settle()
+        return task
+
+    def run(self, coroutine: Coroutine[Any, Any, Any]) -> Any:
+        """Runs a coroutine to its end."""
+        return self._loop.run_until_complete(coroutine)
+
+    def settle(self) -> None:
+        """Runs the tasks until nothing more happens without a release."""
+        for _ in range(20):
+            self._loop.run_until_complete(asyncio.sleep(0))
+
+    def close(self) -> None:
+        """Cancels what still runs."""
+        tasks = asyncio.all_tasks(self._loop)
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            self._loop.run_until_complete(asyncio.wait(tasks))
+        self._loop.close()
--- /dev/null
+++ b/src/sassafrashold/table/_editor.py
@@ -0,0 +1,202 @@
+"""Edits of the stored table as conditional updates."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import uuid
+
+from sassafrashold import clock as clock_lib
+from sassafrashold import errors
+from sassafrashold import platform
+from sassafrashold.table import _changes
+from sassafrashold.table import _history
+from sassafrashold.table import _table
+
+_RACES = platform.Backoff(attempts=20)
+_RESOLUTION = platform.Backoff(attempts=8)
+
+
+@dataclasses.dataclass(frozen=True)
+class Read:
+    """The table as one read found it."""
+
+    table: _table.Table
+    """The table; empty at revision 0 if there is none."""
+
+    version: int
+    """Version in the store; 0 if there is none."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Accepted:
+    """Outcome of a change that is now in the table."""
+
+    table: _table.Table
+    """A table with the change: the one it made or a later one."""
+
+    version: int
+    """Version of that table in the store."""
+
+    revision: int
+    """Revision that the change made."""
+
+    edit: _table.Edit
+    """The edit, with the cells that were still to change."""
+
+
+class Editor:
+    """Reads and edits the table in the store.
+
+    A change is worked out on the table that was read, and then merged into the
+    table in force if other edits came first.
+    """
+
+    def __init__(
+        self,
+        store: platform.ObjectStore,
+        clock: clock_lib.Clock,
+        *,
+        new_id: Callable[[], str] = lambda: uuid.uuid4().hex,
+        races: platform.Backoff = _RACES,
+        resolution: platform.Backoff = _RESOLUTION,
+    ) -> None:
+        """Initializes the editor.
+
+        Args:
+            store: The store.
+            clock: The clock.
+            new_id: Draws the unique id of an edit.
+            races: Bounds how often an edit is merged and sent again.
+            resolution: Bounds the attempts to resolve a lost answer.
+        """
+        self._store = store
+        self._clock = clock
+        self._new_id = new_id
+        self._races = races
+        self._resolution = resolution
+
+    async def read(self, at_least: int = 0) -> Read:
+        """Returns the table, at a version that is not below `at_least`.
+
+        Raises:
+            StoreError: STORE_UNAVAILABLE; the store fails or reads are stale.
+            DocumentError, TableError: The stored table cannot be read.
+        """
+        for attempt in range(1, self._resolution.attempts + 1):
+            stored = await self._store.get(_table.TABLE_KEY)
+            if stored is None and at_least == 0:
+                return Read(_table.Table(), 0)
+            if stored is not None and stored.version >= at_least:
+                return Read(_table.Table.decode(stored.value), stored.version)
+            delay = self._resolution.delay(attempt)
+            await asyncio.sleep(delay.total_seconds())
+        raise errors.StoreError(
+            errors.ErrorCode.STORE_UNAVAILABLE,
+            f"{_table.TABLE_KEY!r}: reads are older than version {at_least}",
+        )
+
+    async def history(self) -> tuple[_history.Revision, ...]:
+        """Returns all accepted edits, oldest first.
+
+        Raises:
+            StoreError: The store fails or a part cannot be read.
+        """
+        return await _history.read_history(
+            self._store, (await self.read()).table
+        )
+
+    async def apply(
+        self,
+        change: _changes.Change,
+        *,
+        who: str,
+        note: str = "",
+        base: _table.Table | None = None,
+    ) -> Accepted:
+        """Makes a change.
+
+        A change that the table seems to have already is written as well,
+        without cells: only a conditional update shows that the read was not
+        stale.
+
+        Args:
+            change: What to change.
+            who: Operator.
+            note: Reason given by the operator.
+            base: Table that the operator saw; the table in force if None.
+
+        Raises:
+            EditConflictError: Another edit changed the same cell; not run.
+            TableError: The change is not allowed; not run.
+            StoreError: With NOT_RUN if the change was not accepted, otherwise
+                STORE_AMBIGUOUS: it may have been, or may still be.
+        """
+        found = await self.read()
+        seen = found.table if base is None else base
+        edit = _table.Edit(self._new_id(), who, self._clock.now(), note, ())
+        for attempt in range(1, self._races.attempts + 1):
+            cells = _changes.merge(change, seen, found.table)
+            accepted = await self._try(
+                found, dataclasses.replace(edit, cells=cells)
+            )
+            if isinstance(accepted, Accepted):
+                return accepted
+            delay = self._races.delay(attempt)
+            await asyncio.sleep(delay.total_seconds())
+            found = await self.read(at_least=accepted)
+        raise errors.StoreError(
+            errors.ErrorCode.STORE_UNAVAILABLE,
+            f"the table changed {self._races.attempts} times during the edit",
+        )
+
+    async def _try(self, base: Read, edit: _table.Edit) -> Accepted | int:
+        """Sends one conditional update.
+
+        Returns:
+            The accepted edit, or the version that another edit made; this one
+            then certainly did not take effect.
+        """
+        trimmed = await _history.without_old_edits(
+            self._store, base.table, self._clock, self._resolution
+        )
+        table = trimmed.with_edit(edit)
+        try:
+            stored = await platform.put_resolved(
+                self._store,
+                _table.TABLE_KEY,
+                table.encode(),
+                base.version,
+                lambda value: _may_hold(value, edit, table.revision),
+                clock=self._clock,
+                backoff=self._resolution,
+            )
+        except errors.StoreConflictError as error:
+            return error.found
+        found = _table.Table.decode(stored.value)
+        if not found.has_edit(edit.edit_id) and not await self._archived(
+            edit, table.revision
+        ):
+            return stored.version
+        return Accepted(found, stored.version, table.revision, edit)
+
+    async def _archived(self, edit: _table.Edit, revision: int) -> bool:
+        """Returns whether the history has an edit that left the table.
+
+        Raises:
+            StoreError: STORE_AMBIGUOUS; the history cannot be read.
+        """
+        try:
+            return await _history.find_edit(self._store, revision, edit.edit_id)
+        except errors.StoreError as error:
+            raise errors.StoreError(
+                errors.ErrorCode.STORE_AMBIGUOUS,
+                f"cannot find out whether edit {edit.edit_id} was accepted: "
+                + error.message,
+                ran=errors.Ran.OUTCOME_UNKNOWN,
+            ) from error
+
+
+def _may_hold(value: bytes, edit: _table.Edit, revision: int) -> bool:
+    """Returns whether a later table has an edit or may have archived it."""
+    table = _table.Table.decode(value)
+    return table.has_edit(edit.edit_id) or table.first_revision > revision
--- a/src/sassafrashold/table/_rows.py
+++ b/src/sassafrashold/table/_rows.py
@@ -1,20 +1,15 @@
-"""Rows, marks and edits of the table, and their stored form."""
+"""Rows of the table: their columns, texts and limits."""
 
 from collections.abc import Mapping
 import dataclasses
-import datetime
 import enum
-import functools
 import math
 import re
 from typing import Any
 
-from sassafrashold import documents
 from sassafrashold import errors
 
-TABLE_KEY = "config/table"
-
-_NAME = re.compile(r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
 
 
 class Kind(enum.Enum):
@@ -129,117 +124,6 @@
         return ServiceRow.from_cells(self.cells() | {column: text})
 
 
-@dataclasses.dataclass(frozen=True)
-class Marks:
-    """Zones and hosts that operators have taken out of service."""
-
-    zones: frozenset[str] = frozenset()
-    """Availability zones that get no new work."""
-
-    hosts: frozenset[str] = frozenset()
-    """Hosts (upstream or of the system) that get no new work."""
-
-
-@dataclasses.dataclass(frozen=True)
-class Cell:
-    """A change of one cell."""
-
-    service: str
-    """Row; `*marks` for the marks."""
-
-    column: str
-    """Column; `zones` or `hosts` for the marks."""
-
-    old: str | None
-    """Text before; None if there was no row."""
-
-    new: str | None
-    """Text after; None if the row was removed."""
-
-
-@dataclasses.dataclass(frozen=True)
-class Edit:
-    """One accepted change of the table."""
-
-    edit_id: str
-    """Unique id, to resolve a lost answer."""
-
-    who: str
-    """Operator."""
-
-    at: datetime.datetime
-    """When the edit was made, UTC."""
-
-    note: str
-    """Reason given by the operator."""
-
-    cells: tuple[Cell, ...]
-    """What changed."""
-
-
-@dataclasses.dataclass(frozen=True)
-class Table:
-    """The whole configuration of a deployment."""
-
-    revision: int = 0
-    """Grows by one with each accepted edit."""
-
-    rows: tuple[ServiceRow, ...] = ()
-    """Rows ordered by service."""
-
-    marks: Marks = Marks()
-    """What is out of service."""
-
-    edits: tuple[Edit, ...] = ()
-    """The newest edits, oldest first."""
-
-    @functools.cached_property
-    def row_by_service(self) -> dict[str, ServiceRow]:
-        """Rows by service name."""
-        return {row.service: row for row in self.rows}
-
-    @classmethod
-    def decode(cls, data: bytes) -> "Table":
-        """Parses the stored document.
-
-        Raises:
-            DocumentError: It is malformed.
-            TableError: A cell holds a value that is not allowed.
-        """
-        key = TABLE_KEY
-        document = documents.parse(key, data)
-        marks = documents.get(key, document, "marks", dict)
-        return cls(
-            documents.get(key, document, "revision", int),
-            tuple(
-                ServiceRow.from_cells(_object(key, row))
-                for row in documents.get(key, document, "rows", list)
-            ),
-            Marks(
-                frozenset(documents.get(key, marks, "zones", list)),
-                frozenset(documents.get(key, marks, "hosts", list)),
-            ),
-            tuple(
-                _decode_edit(key, _object(key, edit))
-                for edit in documents.get(key, document, "edits", list)
-            ),
-        )
-
-    def encode(self) -> bytes:
-        """Returns the stored form."""
-        return documents.dump(
-            {
-                "revision": self.revision,
-                "rows": [row.cells() for row in self.rows],
-                "marks": {
-                    "zones": sorted(self.marks.zones),
-                    "hosts": sorted(self.marks.hosts),
-                },
-                "edits": [_encode_edit(edit) for edit in self.edits],
-            }
-        )
-
-
 @dataclasses.dataclass(frozen=True)
 class _Column:
     """How the text of a column is parsed."""
@@ -325,7 +209,7 @@
     Raises:
         ValueError: The text is not such a name.
     """
-    if not _NAME.match(text):
+    if not _NAME.fullmatch(text):
         raise ValueError("not a name")
     return text
 
@@ -377,48 +261,8 @@
         case Kind():
             return value.value
         case float():
-            return f"{value:g}"
+            return str(int(value)) if value.is_integer() else repr(value)
         case dict():
             return ";".join(f"{zone}={value[zone]}" for zone in sorted(value))
         case _:
             return str(value)
-
-
-def _object(key: str, value: Any) -> dict[str, Any]:
-    if not isinstance(value, dict):
-        raise documents.invalid(key, "expected objects")
-    return value
-
-
-def _decode_edit(key: str, document: dict[str, Any]) -> Edit:
-    try:
-        at = datetime.datetime.fromisoformat(
-            documents.get(key, document, "at", str)
-        )
-    except ValueError as error:
-        raise documents.invalid(key, f"edits.at: {error}") from error
-    return Edit(
-        documents.get(key, document, "id", str),
-        documents.get(key, document, "who", str),
-        at,
-        documents.get(key, document, "note", str),
-        tuple(
-            Cell(
-                documents.get(key, cell, "service", str),
-                documents.get(key, cell, "column", str),
-                cell.get("old"),
-                cell.get("new"),
-            )
-            for cell in documents.get(key, document, "cells", list)
-        ),
-    )
-
-
-def _encode_edit(edit: Edit) -> dict[str, Any]:
-    return {
-        "id": edit.edit_id,
-        "who": edit.who,
-        "at": edit.at.isoformat(),
-        "note": edit.note,
-        "cells": [dataclasses.asdict(cell) for cell in edit.cells],
-    }
