--- a/src/sassafrashold/standins/deployment.py
+++ b/src/sassafrashold/standins/deployment.py
@@ -304,9 +304,10 @@
             "admin": deployment.leaf_admin(number),
             "objects": "leaf-objects" if deployment.proxied else "objects",
             "services": "services.ini",
-            "zones": ",".join(zones),
             "seed": deployment.seed,
         }
+        if zones:
+            values["zones"] = ",".join(zones)
         _write_ini(directory / f"leafs-{number}.ini", {"leaf": values})
     sections = {}
     for group in deployment.groups:
--- a/src/sassafrashold/standins/harness.py
+++ b/src/sassafrashold/standins/harness.py
@@ -90,10 +90,11 @@
         if self.is_running:
             raise RuntimeError(f"{self.name} is running")
         self.log.parent.mkdir(parents=True, exist_ok=True)
-        module = _MODULE_BY_BINARY[self._binary]
+        # The same call as in the installed script of the binary.
+        code = f"from {_MODULE_BY_BINARY[self._binary]} import main; main()"
         with self.log.open("ab") as log:
             self._child = subprocess.Popen(
-                [sys.executable, "-m", module, "--config", self._config],
+                [sys.executable, "-c", code, "--config", self._config],
                 cwd=self._directory,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
