Add a compact member form to gossip messages

A digest with full entries for 61 members is about 6 KB, which does not fit into 14 KB/s. The new optional fields carry members as a hash and two ages, and one hash for all object versions. Existing fields keep their numbers.

--- a/src/sassafrashold/wire/gen/ttypes.py
+++ b/src/sassafrashold/wire/gen/ttypes.py
@@ -2043,6 +2043,14 @@
      - objects
      - epoch
      - renewal_age_ms
+     - known_members: Compact form of members whose description the receiver is likely to know:
+    hash of the description, and at the same position the freshness age and
+    the age of the promise for `epoch` (-1 without one). Their released epoch
+    is `epoch`.
+     - freshness_ages_ms
+     - promise_ages_ms
+     - objects_digest: Hash of all keys and versions; `objects` is empty when it is equal.
+     - evidence_only: True to ask only for `epoch` and `renewal_age_ms`.
 
     """
 
@@ -2053,16 +2061,26 @@
         'objects',
         'epoch',
         'renewal_age_ms',
+        'known_members',
+        'freshness_ages_ms',
+        'promise_ages_ms',
+        'objects_digest',
+        'evidence_only',
     )
 
 
-    def __init__(self, sender=None, zone=None, members=None, objects=None, epoch=None, renewal_age_ms=None,):
+    def __init__(self, sender=None, zone=None, members=None, objects=None, epoch=None, renewal_age_ms=None, known_members=None, freshness_ages_ms=None, promise_ages_ms=None, objects_digest=None, evidence_only=False,):
         self.sender = sender
         self.zone = zone
         self.members = members
         self.objects = objects
         self.epoch = epoch
         self.renewal_age_ms = renewal_age_ms
+        self.known_members = known_members
+        self.freshness_ages_ms = freshness_ages_ms
+        self.promise_ages_ms = promise_ages_ms
+        self.objects_digest = objects_digest
+        self.evidence_only = evidence_only
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2115,6 +2133,46 @@
                     self.renewal_age_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.known_members = []
+                    (_etype57, _size54) = iprot.readListBegin()
+                    for _i58 in range(_size54):
+                        _elem59 = iprot.readI32()
+                        self.known_members.append(_elem59)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.freshness_ages_ms = []
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = iprot.readI32()
+                        self.freshness_ages_ms.append(_elem65)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.promise_ages_ms = []
+                    (_etype69, _size66) = iprot.readListBegin()
+                    for _i70 in range(_size66):
+                        _elem71 = iprot.readI32()
+                        self.promise_ages_ms.append(_elem71)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.objects_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.BOOL:
+                    self.evidence_only = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2136,15 +2194,15 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter54 in self.members:
-                iter54.write(oprot)
+            for iter72 in self.members:
+                iter72.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.objects is not None:
             oprot.writeFieldBegin('objects', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.objects))
-            for iter55 in self.objects:
-                iter55.write(oprot)
+            for iter73 in self.objects:
+                iter73.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.epoch is not None:
@@ -2155,6 +2213,35 @@
             oprot.writeFieldBegin('renewal_age_ms', TType.I64, 6)
             oprot.writeI64(self.renewal_age_ms)
             oprot.writeFieldEnd()
+        if self.known_members is not None:
+            oprot.writeFieldBegin('known_members', TType.LIST, 7)
+            oprot.writeListBegin(TType.I32, len(self.known_members))
+            for iter74 in self.known_members:
+                oprot.writeI32(iter74)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.freshness_ages_ms is not None:
+            oprot.writeFieldBegin('freshness_ages_ms', TType.LIST, 8)
+            oprot.writeListBegin(TType.I32, len(self.freshness_ages_ms))
+            for iter75 in self.freshness_ages_ms:
+                oprot.writeI32(iter75)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.promise_ages_ms is not None:
+            oprot.writeFieldBegin('promise_ages_ms', TType.LIST, 9)
+            oprot.writeListBegin(TType.I32, len(self.promise_ages_ms))
+            for iter76 in self.promise_ages_ms:
+                oprot.writeI32(iter76)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.objects_digest is not None:
+            oprot.writeFieldBegin('objects_digest', TType.I64, 10)
+            oprot.writeI64(self.objects_digest)
+            oprot.writeFieldEnd()
+        if self.evidence_only is not None:
+            oprot.writeFieldBegin('evidence_only', TType.BOOL, 11)
+            oprot.writeBool(self.evidence_only)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2217,11 +2304,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.newer_than = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = ObjectVersion()
-                        _elem61.read(iprot)
-                        self.newer_than.append(_elem61)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = ObjectVersion()
+                        _elem82.read(iprot)
+                        self.newer_than.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2238,8 +2325,8 @@
         if self.newer_than is not None:
             oprot.writeFieldBegin('newer_than', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.newer_than))
-            for iter62 in self.newer_than:
-                iter62.write(oprot)
+            for iter83 in self.newer_than:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2296,11 +2383,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.objects = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = ViewObject()
-                        _elem68.read(iprot)
-                        self.objects.append(_elem68)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = ViewObject()
+                        _elem89.read(iprot)
+                        self.objects.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2317,8 +2404,8 @@
         if self.objects is not None:
             oprot.writeFieldBegin('objects', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.objects))
-            for iter69 in self.objects:
-                iter69.write(oprot)
+            for iter90 in self.objects:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2613,11 +2700,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.objects = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = ObjectVersion()
-                        _elem75.read(iprot)
-                        self.objects.append(_elem75)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = ObjectVersion()
+                        _elem96.read(iprot)
+                        self.objects.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2634,8 +2721,8 @@
         if self.objects is not None:
             oprot.writeFieldBegin('objects', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.objects))
-            for iter76 in self.objects:
-                iter76.write(oprot)
+            for iter97 in self.objects:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3158,6 +3245,11 @@
     (4, TType.LIST, 'objects', (TType.STRUCT, [ObjectVersion, None], False), None, ),  # 4
     (5, TType.I64, 'epoch', None, None, ),  # 5
     (6, TType.I64, 'renewal_age_ms', None, None, ),  # 6
+    (7, TType.LIST, 'known_members', (TType.I32, None, False), None, ),  # 7
+    (8, TType.LIST, 'freshness_ages_ms', (TType.I32, None, False), None, ),  # 8
+    (9, TType.LIST, 'promise_ages_ms', (TType.I32, None, False), None, ),  # 9
+    (10, TType.I64, 'objects_digest', None, None, ),  # 10
+    (11, TType.BOOL, 'evidence_only', None, False, ),  # 11
 )
 all_structs.append(FetchRequest)
 FetchRequest.thrift_spec = (
--- a/src/sassafrashold/wire/idl/sassafras.thrift
+++ b/src/sassafrashold/wire/idl/sassafras.thrift
@@ -165,6 +165,19 @@
   4: required list<ObjectVersion> objects;
   5: required i64 epoch;
   6: optional i64 renewal_age_ms;
+  /**
+   * Compact form of members whose description the receiver is likely to know:
+   * hash of the description, and at the same position the freshness age and
+   * the age of the promise for `epoch` (-1 without one). Their released epoch
+   * is `epoch`.
+   */
+  7: optional list<i32> known_members;
+  8: optional list<i32> freshness_ages_ms;
+  9: optional list<i32> promise_ages_ms;
+  /** Hash of all keys and versions; `objects` is empty when it is equal. */
+  10: optional i64 objects_digest;
+  /** True to ask only for `epoch` and `renewal_age_ms`. */
+  11: optional bool evidence_only = false;
 }
 
 struct FetchRequest {
