Add membership, lease rules and the control daemon

A control process creates and renews its zone's lease, answers the owner's entitlement calls and streams objects to the local processes.

--- /dev/null
+++ b/src/sassafrashold/control/_digest.py
@@ -0,0 +1,284 @@
+"""Gossip messages from the state of a node, and back."""
+
+from collections.abc import Iterable
+import datetime
+from typing import Any
+
+from sassafrashold import membership
+from sassafrashold import settings
+from sassafrashold import wire
+from sassafrashold.control import _entitlement
+from sassafrashold.control import _node
+
+_NO_PROMISE = -1
+_MAX_AGE_MS = 2**31 - 1
+_MAX_OBJECTS = 2000
+
+_STATE_TO_WIRE = {
+    membership.State.STARTING: wire.messages.MemberState.STARTING,
+    membership.State.SERVING: wire.messages.MemberState.SERVING,
+    membership.State.LEAVING: wire.messages.MemberState.LEAVING,
+}
+_STATE_FROM_WIRE = {value: key for key, value in _STATE_TO_WIRE.items()}
+
+
+class DigestError(Exception):
+    """A gossip message has invalid contents."""
+
+
+def request(
+    node: _node.Node,
+    *,
+    members: bool,
+    changed_keys: Iterable[str] = (),
+) -> Any:
+    """Returns a request for an exchange.
+
+    Args:
+        node: The state of this process.
+        members: Whether to exchange members; only within the zone.
+        changed_keys: Objects that the peer may not have yet.
+    """
+    message = _message(node)
+    if members:
+        _add_known(node, message, membership.Members.entries(node.members))
+    message.objects = [
+        wire.messages.ObjectVersion(key=key, version=node.objects.version(key))
+        for key in changed_keys
+    ]
+    message.objects_digest = node.objects.digest()
+    return message
+
+
+def evidence_request(node: _node.Node) -> Any:
+    """Returns a request for the epoch and the age of its renewal only."""
+    return wire.messages.GossipMessage(
+        sender=node.settings.host,
+        zone=node.settings.zone,
+        members=[],
+        objects=[],
+        epoch=node.lease.epoch,
+        evidence_only=True,
+    )
+
+
+def answer(node: _node.Node, asked: Any) -> Any:
+    """Returns the answer to a request.
+
+    Members that the sender names are sent in the compact form, all others in
+    full. Object versions are sent only if they differ.
+    """
+    if asked.evidence_only:
+        message = evidence_request(node)
+        _add_renewal(node, message)
+        return message
+    message = _message(node)
+    _add_renewal(node, message)
+    if asked.zone == node.settings.zone:
+        known = frozenset(asked.known_members or ())
+        entries = node.members.entries()
+        compact = [e for e in entries if _is_compact(node, e, known)]
+        _add_known(node, message, compact)
+        own = node.settings.host
+        message.members += [
+            _to_wire(entry, node.now())
+            for entry in entries
+            if entry not in compact and entry.description.host != own
+        ]
+    message.objects_digest = node.objects.digest()
+    if asked.objects_digest != message.objects_digest:
+        message.objects = [
+            wire.messages.ObjectVersion(key=key, version=version)
+            for key, version in node.objects.versions().items()
+        ][:_MAX_OBJECTS]
+    return message
+
+
+def merge_answer(
+    node: _node.Node, message: Any, asked: datetime.timedelta
+) -> None:
+    """Takes over an answer.
+
+    Args:
+        node: The state of this process.
+        message: `GossipMessage` from a peer.
+        asked: Monotonic time before the request was sent.
+
+    Raises:
+        DigestError: The message is invalid; nothing was taken over.
+    """
+    if message.zone != node.settings.zone:
+        return
+    reports = [
+        *(_from_wire(member) for member in message.members),
+        *_known(node, message, message.epoch),
+    ]
+    if message.renewal_age_ms is not None:
+        age = _entitlement.age_from_wire(message.renewal_age_ms)
+        node.lease.record_renewal(message.epoch, asked - age)
+    now = node.now()
+    entries = [
+        membership.Entry.from_answer(report, asked, now) for report in reports
+    ]
+    for entry in entries:
+        if (
+            entry.description.host == node.settings.host
+            and entry.promise is not None
+        ):
+            node.lease.record_predecessor(entry.promise)
+    node.members.merge(entries)
+
+
+def merge_request(node: _node.Node, message: Any) -> None:
+    """Takes over the hints of a request; see `Entry.from_request`.
+
+    Raises:
+        DigestError: The message is invalid; nothing was taken over.
+    """
+    if message.zone != node.settings.zone:
+        return
+    now = node.now()
+    # The compact form states the released epoch only in answers.
+    reports = [
+        *(_from_wire(member) for member in message.members),
+        *_known(node, message, 0),
+    ]
+    node.members.merge(
+        membership.Entry.from_request(report, now) for report in reports
+    )
+
+
+def sender_control(message: Any) -> settings.Address | None:
+    """Returns the control address of the sender, if it is stated."""
+    for member in message.members:
+        if member.host == message.sender:
+            return _from_wire(member).description.control
+    return None
+
+
+def _message(node: _node.Node) -> Any:
+    """Returns a message with only the own entry."""
+    own = node.refresh()
+    return wire.messages.GossipMessage(
+        sender=node.settings.host,
+        zone=node.settings.zone,
+        members=[_to_wire(own, node.now())],
+        objects=[],
+        epoch=node.lease.epoch,
+    )
+
+
+def _add_renewal(node: _node.Node, message: Any) -> None:
+    renewed = node.lease.renewal_time()
+    if renewed is not None:
+        message.renewal_age_ms = _entitlement.ceil_ms(node.now() - renewed)
+
+
+def _add_known(
+    node: _node.Node, message: Any, entries: Iterable[membership.Entry]
+) -> None:
+    """Adds members in the compact form."""
+    now = node.now()
+    digests, freshness_ages, promise_ages = [], [], []
+    for entry in entries:
+        digests.append(entry.description.digest)
+        freshness_ages.append(_age_ms(now - entry.heard))
+        promise = entry.promise
+        if promise is None or promise.epoch != message.epoch:
+            promise_ages.append(_NO_PROMISE)
+        else:
+            promise_ages.append(_age_ms(now - promise.made))
+    message.known_members = digests
+    message.freshness_ages_ms = freshness_ages
+    message.promise_ages_ms = promise_ages
+
+
+def _is_compact(
+    node: _node.Node, entry: membership.Entry, known: frozenset[int]
+) -> bool:
+    """Returns whether the compact form says everything about an entry."""
+    epoch = node.lease.epoch
+    digest = entry.description.digest
+    return (
+        entry.description.host != node.settings.host
+        and digest in known
+        and node.members.description(digest) == entry.description
+        and entry.released_epoch == epoch
+        and (entry.promise is None or entry.promise.epoch <= epoch)
+    )
+
+
+def _known(
+    node: _node.Node, message: Any, released_epoch: int
+) -> list[membership.Report]:
+    """Returns the compact members whose hash is known here."""
+    digests = message.known_members or []
+    freshness_ages = message.freshness_ages_ms or []
+    promise_ages = message.promise_ages_ms or []
+    if not len(digests) == len(freshness_ages) == len(promise_ages):
+        raise DigestError("lists of known members differ in length")
+    reports = []
+    for digest, freshness_ms, promise_ms in zip(
+        digests, freshness_ages, promise_ages, strict=True
+    ):
+        description = node.members.description(digest)
+        if description is None:
+            continue
+        reports.append(
+            membership.Report(
+                description,
+                _entitlement.age_from_wire(freshness_ms),
+                None
+                if promise_ms == _NO_PROMISE
+                else _entitlement.age_from_wire(promise_ms),
+                message.epoch,
+                released_epoch,
+            )
+        )
+    return reports
+
+
+def _to_wire(entry: membership.Entry, now: datetime.timedelta) -> Any:
+    description = entry.description
+    promise = entry.promise
+    return wire.messages.MemberEntry(
+        host=description.host,
+        zone=description.zone,
+        incarnation=description.incarnation,
+        state=_STATE_TO_WIRE[description.state],
+        control=str(description.control),
+        owner=str(description.owner),
+        entry=str(description.entry),
+        freshness_age_ms=_age_ms(now - entry.heard),
+        promise_age_ms=None if promise is None else _age_ms(now - promise.made),
+        promise_epoch=0 if promise is None else promise.epoch,
+        released_epoch=entry.released_epoch,
+    )
+
+
+def _from_wire(member: Any) -> membership.Report:
+    try:
+        description = membership.Description(
+            member.host,
+            member.zone,
+            member.incarnation,
+            _STATE_FROM_WIRE[member.state],
+            settings.Address.parse(member.control),
+            settings.Address.parse(member.owner),
+            settings.Address.parse(member.entry),
+        )
+    except (KeyError, ValueError) as error:
+        raise DigestError(f"member {member.host!r}: {error}") from error
+    return membership.Report(
+        description,
+        _entitlement.age_from_wire(member.freshness_age_ms),
+        None
+        if member.promise_age_ms is None
+        else _entitlement.age_from_wire(member.promise_age_ms),
+        member.promise_epoch,
+        member.released_epoch,
+    )
+
+
+def _age_ms(age: datetime.timedelta) -> int:
+    return min(_MAX_AGE_MS, _entitlement.ceil_ms(age))
--- /dev/null
+++ b/src/sassafrashold/control/_node.py
@@ -0,0 +1,184 @@
+"""All state of one control process; no I/O."""
+
+from collections.abc import Callable
+import datetime
+import logging
+
+from sassafrashold import clock as clock_lib
+from sassafrashold import errors
+from sassafrashold import lease
+from sassafrashold import membership
+from sassafrashold import views
+from sassafrashold.control import _objects
+from sassafrashold.control import _owner_watch
+from sassafrashold.control import _settings
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class Node:
+    """Ties the aggregates of a control process together."""
+
+    def __init__(
+        self,
+        values: _settings.ControlSettings,
+        clock: clock_lib.Clock,
+        new_write_id: Callable[[], str],
+    ) -> None:
+        """Initializes the node; to be called once the port is bound.
+
+        Args:
+            values: The settings, with the bound address in `listen`.
+            clock: The clock.
+            new_write_id: Returns a new unique id.
+        """
+        self._clock = clock
+        self.settings = values
+        """Settings of the process."""
+        self.started = clock.monotonic()
+        """When the port was bound."""
+        self.members = membership.Members(values.host, values.zone)
+        """Hosts of the own zone."""
+        self.hosts = membership.PlatformHosts()
+        """The platform's host list over time."""
+        self.lease = lease.LeaseState(
+            self.members, self.hosts, self.started, new_write_id
+        )
+        """The own zone's lease."""
+        self.objects = _objects.ObjectCache()
+        """Everything that is distributed."""
+        self.owner = _owner_watch.OwnerWatch()
+        """The local owner process."""
+        self.up_to_date_source: str | None = None
+        """Where the first full set of objects came from."""
+        self.lease_key = lease.lease_key(values.zone)
+        """Key of the own zone's lease."""
+
+    def now(self) -> datetime.timedelta:
+        """Returns the monotonic time."""
+        return self._clock.monotonic()
+
+    def refresh(self) -> membership.Entry:
+        """Brings the own entry up to date and returns it."""
+        now = self.now()
+        entry = membership.Entry(
+            self._description(now),
+            now,
+            now,
+            self.lease.promise(now),
+            self.owner.released_epoch,
+            now,
+        )
+        self.members.put_own(entry)
+        return entry
+
+    def forget_gone_hosts(self) -> None:
+        """Drops hosts that are long gone."""
+        known = self.lease.lease
+        needed = set()
+        if known is not None:
+            needed = {
+                member.host
+                for members in (
+                    known.members,
+                    *(e.members for e in known.earlier),
+                )
+                for member in members
+            }
+        self.members.forget(self.now(), needed)
+
+    def put(self, stored: _objects.StoredObject, *, peer: bool = False) -> bool:
+        """Takes over an object if it is newer.
+
+        Args:
+            stored: The object.
+            peer: Whether it came from a peer and not from the store.
+
+        Returns:
+            Whether it was distributed further.
+        """
+        if stored.version <= self.objects.version(stored.key):
+            return False
+        try:
+            self._apply(stored)
+        except errors.SassafrasError as error:
+            # Still distributed: readers report it, and a newer version of
+            # this program may be able to read it.
+            _LOGGER.error(
+                "an object is unreadable",
+                extra={"key": stored.key, "error": str(error)},
+            )
+        if peer:
+            return self.objects.put_from_peer(stored)
+        return self.objects.put(stored)
+
+    def is_reader(self, count: int = 2) -> bool:
+        """Returns whether this host reads the store for its zone.
+
+        The first fresh members by rendezvous hashing of the zone do. Without
+        any fresh member, every host does.
+        """
+        known = self.lease.lease
+        zone = self.settings.zone
+        if known is None:
+            return True
+        now = self.now()
+        alive = [
+            member.host
+            for member in known.members
+            if self.members.is_fresh(member.host, now)
+        ]
+        first = membership.rank(zone, alive)[:count]
+        return not alive or self.settings.host in first
+
+    def set_up_to_date(self, source: str) -> None:
+        """Records that this host has all objects."""
+        if self.up_to_date_source is None:
+            _LOGGER.info("objects are up to date", extra={"source": source})
+            self.up_to_date_source = source
+
+    def _apply(self, stored: _objects.StoredObject) -> None:
+        if stored.key == self.lease_key:
+            document = lease.ZoneLease.decode(stored.value)
+            self.lease.learn(document, stored.version, self.now())
+        elif stored.key == views.HOSTS_KEY:
+            self.record_hosts(stored.value, None)
+
+    def record_hosts(
+        self, value: bytes, read: datetime.timedelta | None
+    ) -> None:
+        """Records a host list.
+
+        Args:
+            value: The list.
+            read: When this host asked the platform; None for a peer's list.
+
+        Raises:
+            DocumentError: It is malformed.
+        """
+        hosts = views.HostList.decode(value)
+        self.hosts.update(
+            hosts.as_of,
+            {e.host: e.leaving for e in hosts.entry_by_host.values()},
+            self.now(),
+            read,
+        )
+
+    def _description(self, now: datetime.timedelta) -> membership.Description:
+        values = self.settings
+        return membership.Description(
+            values.host,
+            values.zone,
+            self.owner.incarnation,
+            self._state(now),
+            values.listen,
+            values.owner,
+            values.entry,
+        )
+
+    def _state(self, now: datetime.timedelta) -> membership.State:
+        if not self.owner.is_serving(now) or self.up_to_date_source is None:
+            return membership.State.STARTING
+        if self.owner.leaving:
+            return membership.State.LEAVING
+        return membership.State.SERVING
--- /dev/null
+++ b/src/sassafrashold/control/_readers.py
@@ -0,0 +1,118 @@
+"""Reads the store and the host list for the zone."""
+
+import datetime
+import logging
+
+from sassafrashold import errors
+from sassafrashold import lease
+from sassafrashold import table
+from sassafrashold import views
+from sassafrashold.control import _node
+from sassafrashold.control import _objects
+from sassafrashold.control import _store
+
+_LOGGER = logging.getLogger(__name__)
+_SHARDMAPS = "shardmaps/"
+_WATCH = datetime.timedelta(seconds=20)
+
+
+class Readers:
+    """Brings objects from the store into the cache.
+
+    Each method does one round of reading, if it is this host's turn.
+    """
+
+    def __init__(self, node: _node.Node, store: _store.Store) -> None:
+        self._node = node
+        self._store = store
+
+    async def load_all(self) -> None:
+        """Reads everything that a starting host needs.
+
+        Raises:
+            StoreError: The host is not up to date.
+        """
+        await self._read(table.TABLE_KEY)
+        await self._read_newer(_SHARDMAPS, skip=())
+        await self._read_newer(lease.KEY_PREFIX, skip=())
+        self._node.set_up_to_date("store")
+
+    async def watch_table(self) -> bool:
+        """Waits for a newer table; returns False if it is not this host's turn.
+
+        Raises:
+            StoreError: The store does not answer.
+        """
+        if not self._node.is_reader():
+            return False
+        key = table.TABLE_KEY
+        found = await self._store.watch(
+            key, self._node.objects.version(key), _WATCH
+        )
+        self._reached()
+        if found is not None:
+            self._put(key, found)
+        return True
+
+    async def read_shardmaps(self) -> None:
+        """Reads changed shard maps.
+
+        Raises:
+            StoreError: The store does not answer.
+        """
+        if self._node.is_reader():
+            await self._read_newer(_SHARDMAPS, skip=())
+
+    async def read_other_leases(self) -> None:
+        """Reads the leases of the other zones.
+
+        Raises:
+            StoreError: The store does not answer.
+        """
+        if self._node.is_reader(1):
+            await self._read_newer(
+                lease.KEY_PREFIX, skip=(self._node.lease_key,)
+            )
+
+    async def read_hosts(self) -> None:
+        """Reads the platform's host list.
+
+        Raises:
+            StoreError: The platform does not answer.
+            DocumentError: The list is malformed.
+        """
+        if not self._node.is_reader():
+            return
+        read = self._node.now()
+        found = await self._store.host_list()
+        self._reached()
+        self._node.record_hosts(found.value, read)
+        self._put(views.HOSTS_KEY, found)
+
+    async def _read_newer(self, prefix: str, skip: tuple[str, ...]) -> None:
+        versions = await self._store.list_versions(prefix)
+        self._reached()
+        for key, version in versions.items():
+            if key not in skip and version > self._node.objects.version(key):
+                await self._read(key)
+
+    async def _read(self, key: str) -> None:
+        found = await self._store.get(key)
+        self._reached()
+        if found.version > 0:
+            self._put(key, found)
+
+    def _reached(self) -> None:
+        self._node.lease.store_reached(self._node.now())
+
+    def _put(self, key: str, found: _store.Versioned) -> None:
+        try:
+            self._node.put(
+                _objects.StoredObject(
+                    key, found.version, found.value, self._node.now(), "store"
+                )
+            )
+        except errors.SassafrasError as error:
+            _LOGGER.error(
+                "ignored an object", extra={"key": key, "error": str(error)}
+            )
--- /dev/null
+++ b/src/sassafrashold/lease/_evidence.py
@@ -0,0 +1,79 @@
+"""Proof that an epoch was current at some recent time."""
+
+from collections.abc import Mapping
+import dataclasses
+import datetime
+
+from sassafrashold import membership
+from sassafrashold.lease import _document
+
+LEASE_TIME = datetime.timedelta(seconds=3)
+"""L: how long evidence and promises hold."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Proof:
+    """A time at which an epoch was certainly current."""
+
+    time: datetime.timedelta
+    """Local monotonic time; the epoch was current then or later."""
+
+    source: str
+    """`renewal` or `promises`."""
+
+
+class Renewals:
+    """When each epoch was last renewed, as far as it is proven."""
+
+    def __init__(self) -> None:
+        self._time_by_epoch: dict[int, datetime.timedelta] = {}
+
+    def record(self, epoch: int, sent: datetime.timedelta) -> None:
+        """Records a successful conditional update.
+
+        Args:
+            epoch: Epoch of the updated lease.
+            sent: Local time that is not after the update was sent.
+        """
+        known = self._time_by_epoch.get(epoch)
+        if known is None or known < sent:
+            self._time_by_epoch[epoch] = sent
+
+    def time(self, epoch: int) -> datetime.timedelta | None:
+        """Returns the time of the last known renewal of an epoch."""
+        return self._time_by_epoch.get(epoch)
+
+    def prune(self, epoch: int) -> None:
+        """Drops all epochs before `epoch`."""
+        for known in list(self._time_by_epoch):
+            if known < epoch:
+                del self._time_by_epoch[known]
+
+
+def promised(
+    lease: _document.ZoneLease,
+    promise_by_host: Mapping[str, membership.Promise | None],
+) -> datetime.timedelta | None:
+    """Returns until when promises prove that an epoch was current.
+
+    Only members propose, so an epoch whose members have all promised at or
+    after a time is current at that time.
+
+    Args:
+        lease: The committed lease.
+        promise_by_host: Newest known promise of each host.
+    """
+    times = []
+    for member in lease.members:
+        promise = promise_by_host.get(member.host)
+        if promise is None or promise.epoch != lease.epoch:
+            return None
+        times.append(promise.made)
+    return min(times, default=None)
+
+
+def later(one: Proof | None, other: Proof | None) -> Proof | None:
+    """Returns the proof with the later time."""
+    if one is None or other is None:
+        return one or other
+    return max(one, other, key=lambda proof: proof.time)
--- /dev/null
+++ b/src/sassafrashold/lease/_state.py
@@ -0,0 +1,466 @@
+"""The rules of the zone lease at one host, without any I/O."""
+
+from collections.abc import Callable
+import dataclasses
+import datetime
+import enum
+
+from sassafrashold import errors
+from sassafrashold import membership
+from sassafrashold.lease import _document
+from sassafrashold.lease import _evidence
+from sassafrashold.lease import _proposal
+from sassafrashold.lease import _release
+
+MAX_EARLIER = 8
+
+RENEW_INTERVAL = datetime.timedelta(seconds=1)
+# A renewal reaches the other members after one or two evidence pulls, so these
+# are above the interval by that delay. Otherwise the second member would renew
+# on every turn.
+_SECOND_RENEWS_AFTER = datetime.timedelta(milliseconds=1600)
+_OTHERS_RENEW_AFTER = datetime.timedelta(milliseconds=2200)
+_RENEW_STAGGER = datetime.timedelta(milliseconds=100)
+_RENEW_MAX_STAGGER_RANK = 5
+
+# The member that proposes is the first of the zone's ranking. Each later one
+# waits longer, by about the time that a proposal takes.
+_PROPOSER_STAGGER = datetime.timedelta(seconds=4)
+_PROPOSER_MAX_RANK = 3
+_RETRY_DELAY = datetime.timedelta(milliseconds=500)
+_PROPOSAL_BACKOFF = datetime.timedelta(seconds=5)
+_STORE_RECENT = datetime.timedelta(milliseconds=2500)
+
+
+class WriteKind(enum.Enum):
+    """Why the lease object is written."""
+
+    CREATE = "create"
+    RENEW = "renew"
+    PROPOSE = "propose"
+
+
+@dataclasses.dataclass(frozen=True)
+class Write:
+    """One conditional update of the lease object."""
+
+    kind: WriteKind
+    """Why it is written."""
+
+    expected_version: int
+    """Version that it replaces; 0 creates the object."""
+
+    lease: _document.ZoneLease
+    """The new lease."""
+
+
+class Outcome(enum.Enum):
+    """What is known about a write after its call ended."""
+
+    APPLIED = "applied"
+    CONFLICT = "conflict"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class LeaseState:
+    """What one host knows and has promised about its zone's lease.
+
+    At most one write is under way at a time: `next_write` returns none until
+    `finish` was called for the previous one.
+    """
+
+    def __init__(
+        self,
+        members: membership.Members,
+        hosts: membership.PlatformHosts,
+        start: datetime.timedelta,
+        new_write_id: Callable[[], str],
+    ) -> None:
+        """Initializes the state of a process that knows no lease.
+
+        Args:
+            members: The hosts of the zone, kept up to date by the caller.
+            hosts: The platform's list, kept up to date by the caller.
+            start: Monotonic time at which the process had bound its port, so
+                that no previous process of the host was running any more.
+            new_write_id: Returns a new unique id.
+        """
+        self._members = members
+        self._hosts = hosts
+        self._start = start
+        self._new_write_id = new_write_id
+        self._lease: _document.ZoneLease | None = None
+        self._version = 0
+        self._learned = start
+        self._renewals = _evidence.Renewals()
+        self._last_promise: membership.Promise | None = None
+        self._predecessor: membership.Promise | None = None
+        self._settled = False
+        self._wanted_since: datetime.timedelta | None = None
+        self._stopped = False
+        self._retry_at = start
+        self._propose_from = start
+        self._under_way: Write | None = None
+        self._unresolved: Write | None = None
+        self._unresolved_sent = start
+        self._store_reached: datetime.timedelta | None = None
+
+    @property
+    def lease(self) -> _document.ZoneLease | None:
+        """The newest known lease."""
+        return self._lease
+
+    @property
+    def version(self) -> int:
+        """Store version of the newest known lease; 0 without one."""
+        return self._version
+
+    @property
+    def epoch(self) -> int:
+        """The newest known epoch; 0 without one."""
+        return 0 if self._lease is None else self._lease.epoch
+
+    @property
+    def unresolved(self) -> Write | None:
+        """A proposal whose outcome is not known yet."""
+        return self._unresolved
+
+    @property
+    def store_reached_at(self) -> datetime.timedelta | None:
+        """When the store last answered this host; None if it never did."""
+        return self._store_reached
+
+    def learn(
+        self,
+        lease: _document.ZoneLease,
+        version: int,
+        now: datetime.timedelta,
+    ) -> bool:
+        """Takes over a lease unless it is older than the known one.
+
+        Args:
+            lease: A committed lease, from a read, a peer or an own update.
+            version: Its version in the store.
+            now: Local monotonic time after the commit.
+
+        Returns:
+            Whether the lease is newer.
+
+        Raises:
+            LeaseError: A newer version has a lower epoch.
+        """
+        if version <= self._version:
+            return False
+        if lease.epoch < self.epoch:
+            raise errors.LeaseError(
+                errors.ErrorCode.BAD_DOCUMENT,
+                f"lease version {version} has epoch {lease.epoch}, below"
+                f" the known epoch {self.epoch}",
+            )
+        if lease.epoch > self.epoch:
+            self._learned = now
+            self._renewals.prune(lease.epoch)
+            self._abandon_change()
+        self._lease = lease
+        self._version = version
+        if (
+            self._unresolved is not None
+            and version > self._unresolved.expected_version
+        ):
+            # The object has moved past the version that the proposal was
+            # conditional on: it took effect or never will.
+            self._unresolved = None
+        return True
+
+    def record_renewal(self, epoch: int, sent: datetime.timedelta) -> None:
+        """Records a successful update of the lease by any member.
+
+        Args:
+            epoch: Epoch of the updated lease.
+            sent: Local time that is not after the update was sent.
+        """
+        if epoch >= self.epoch:
+            self._renewals.record(epoch, sent)
+
+    def record_predecessor(self, promise: membership.Promise) -> None:
+        """Records what a peer's answer says about promises of this host.
+
+        Args:
+            promise: The promise, at a local time that is not after it was made.
+        """
+        if self._predecessor is None or self._predecessor < promise:
+            self._predecessor = promise
+
+    def store_reached(self, now: datetime.timedelta) -> None:
+        """Records that the store answered this host."""
+        self._store_reached = now
+
+    def situation(self, now: datetime.timedelta) -> _release.Situation | None:
+        """Returns the facts that the rules use; None without a lease."""
+        if self._lease is None:
+            return None
+        return _release.Situation(
+            self._lease, self._learned, self._members, self._hosts, now
+        )
+
+    def promise(self, now: datetime.timedelta) -> membership.Promise | None:
+        """Makes a promise, unless this host must not promise now.
+
+        Returns:
+            The newest promise for the known epoch, which is an old one while
+            this host does not promise; None if there is none.
+        """
+        if self._may_promise():
+            self._last_promise = membership.Promise(self.epoch, now)
+        promise = self._last_promise
+        if promise is None or promise.epoch != self.epoch:
+            return None
+        return promise
+
+    def renewal_time(self) -> datetime.timedelta | None:
+        """Returns the proven time of the last renewal of the known epoch."""
+        return self._renewals.time(self.epoch)
+
+    def evidence(self, now: datetime.timedelta) -> _evidence.Proof | None:
+        """Returns the latest proof that the known epoch was current."""
+        if self._lease is None:
+            return None
+        renewed = self.renewal_time()
+        promise_by_host = {}
+        for member in self._lease.members:
+            entry = self._members.get(member.host)
+            promise_by_host[member.host] = entry.promise if entry else None
+        promise_by_host[self._members.host] = self.promise(now)
+        promised = _evidence.promised(self._lease, promise_by_host)
+        return _evidence.later(
+            None if renewed is None else _evidence.Proof(renewed, "renewal"),
+            None if promised is None else _evidence.Proof(promised, "promises"),
+        )
+
+    def next_write(self, now: datetime.timedelta) -> Write | None:
+        """Returns the update to send now, if there is one.
+
+        The caller sends it at once and reports its end with `finish`.
+        """
+        if (
+            self._under_way is not None
+            or self._lease is None
+            or now < self._retry_at
+        ):
+            return None
+        write = self._next_proposal(now) or self._next_renewal(now)
+        self._under_way = write
+        return write
+
+    def first_write(self, now: datetime.timedelta) -> Write | None:
+        """Returns the update that creates the lease of a new zone.
+
+        To be called when the store has said that there is no lease. Creation is
+        conditional on absence, so a stale answer does no harm.
+        """
+        members = _proposal.serving(self._members, now)
+        hosts = [member.host for member in members]
+        if (
+            self._lease is not None
+            or self._under_way is not None
+            or self._members.host not in hosts
+        ):
+            return None
+        lease = _document.ZoneLease(
+            self._members.zone, 1, members, (), 0, self._new_write_id()
+        )
+        self._under_way = Write(WriteKind.CREATE, 0, lease)
+        return self._under_way
+
+    def finish(
+        self,
+        write: Write,
+        outcome: Outcome,
+        *,
+        version: int,
+        sent: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> None:
+        """Records the end of a write.
+
+        Args:
+            write: The write that `next_write` or `first_write` returned.
+            outcome: What is known about it.
+            version: Version of the object after an applied write, else 0.
+            sent: Local time before the write was sent.
+            now: Local monotonic time.
+        """
+        self._under_way = None
+        if write is self._unresolved:
+            # The first attempt may be the one that took effect.
+            sent = self._unresolved_sent
+        if outcome is not Outcome.NOT_RUN:
+            self._settle(write, outcome, sent)
+        if outcome is Outcome.APPLIED:
+            self.store_reached(now)
+            self.record_renewal(write.lease.epoch, sent)
+            self.learn(write.lease, version, now)
+            return
+        self._retry_at = now + _RETRY_DELAY
+        if outcome is Outcome.NOT_RUN and write.kind is WriteKind.PROPOSE:
+            # This host has no way to the store. It promises again, and the
+            # next member of the ranking proposes.
+            self._propose_from = now + _PROPOSAL_BACKOFF
+            self._abandon_change()
+
+    def _settle(
+        self, write: Write, outcome: Outcome, sent: datetime.timedelta
+    ) -> None:
+        if write.kind is not WriteKind.PROPOSE:
+            return
+        # An earlier attempt of the same proposal may still take effect after
+        # an attempt that was not run, so NOT_RUN never gets here.
+        self._unresolved = write if outcome is Outcome.UNKNOWN else None
+        self._unresolved_sent = sent
+
+    def _may_promise(self) -> bool:
+        lease = self._lease
+        return (
+            lease is not None
+            and self._members.host in lease.member_by_host
+            and not self._stopped
+            and not self._is_proposal_open()
+            and self._is_settled()
+        )
+
+    def _is_proposal_open(self) -> bool:
+        under_way = self._under_way
+        return self._unresolved is not None or (
+            under_way is not None and under_way.kind is WriteKind.PROPOSE
+        )
+
+    def _is_settled(self) -> bool:
+        """Returns whether no proposal of a previous process can take effect.
+
+        That holds once the lease was updated after the start of this process,
+        because the proposal was conditional on an earlier version. It also
+        holds if the previous process had promised within L before the start:
+        it had no open proposal then, and had to wait L before the next one.
+        """
+        if not self._settled:
+            renewed = self.renewal_time()
+            previous = self._predecessor
+            self._settled = (
+                renewed is not None and renewed >= self._start
+            ) or (
+                previous is not None
+                and previous.epoch == self.epoch
+                and previous.made > self._start - _evidence.LEASE_TIME
+            )
+        return self._settled
+
+    def _next_renewal(self, now: datetime.timedelta) -> Write | None:
+        lease = self._lease
+        situation = self.situation(now)
+        if lease is None or situation is None:
+            return None
+        if self._members.host not in lease.member_by_host:
+            return None
+        renewed = self.renewal_time()
+        if renewed is None:
+            renewed = self._learned
+        if now - renewed < self._renews_after(lease):
+            return None
+        update = dataclasses.replace(
+            lease.with_renewal(self._new_write_id()),
+            earlier=situation.pruned_earlier(),
+        )
+        return Write(WriteKind.RENEW, self._version, update)
+
+    def _renews_after(self, lease: _document.ZoneLease) -> datetime.timedelta:
+        """Returns the age of the last renewal at which this host renews."""
+        position = membership.rank(lease.zone, lease.member_by_host).index(
+            self._members.host
+        )
+        if position == 0:
+            return RENEW_INTERVAL
+        if position == 1:
+            return _SECOND_RENEWS_AFTER
+        stagger = min(position - 2, _RENEW_MAX_STAGGER_RANK)
+        return _OTHERS_RENEW_AFTER + stagger * _RENEW_STAGGER
+
+    def _next_proposal(self, now: datetime.timedelta) -> Write | None:
+        if self._unresolved is not None:
+            # Repeats the same update, which settles its outcome.
+            return self._unresolved
+        situation = self.situation(now)
+        if situation is None:
+            return None
+        if self._members.host in situation.lease.member_by_host:
+            change = _proposal.wanted(situation)
+            turn = self._turn_delay(situation)
+        else:
+            change = _proposal.takeover(situation)
+            turn = _evidence.LEASE_TIME
+        if change is None or not self._can_propose(now):
+            self._abandon_change(keep_wanted=change is not None)
+            return None
+        if self._wanted_since is None:
+            self._wanted_since = now
+        if now - self._wanted_since < turn:
+            return None
+        self._stopped = True
+        if not change.certain or not self._has_waited(now):
+            return None
+        return self._proposal(situation, change)
+
+    def _proposal(
+        self, situation: _release.Situation, change: _proposal.Wanted
+    ) -> Write | None:
+        lease = situation.lease
+        earlier = situation.pruned_earlier()
+        if len(earlier) >= MAX_EARLIER:
+            return None
+        previous = _document.EarlierEpoch(lease.epoch, lease.members)
+        update = dataclasses.replace(
+            lease.with_renewal(self._new_write_id()),
+            epoch=lease.epoch + 1,
+            members=change.members,
+            earlier=(previous, *earlier),
+        )
+        return Write(WriteKind.PROPOSE, self._version, update)
+
+    def _can_propose(self, now: datetime.timedelta) -> bool:
+        """Returns whether it is worth while to stop promising.
+
+        Without the store a proposal fails, and promises are then what keeps
+        the epoch going.
+        """
+        times = [self._store_reached, self.renewal_time()]
+        recent = any(
+            time is not None and now - time < _STORE_RECENT for time in times
+        )
+        return recent and now >= self._propose_from
+
+    def _has_waited(self, now: datetime.timedelta) -> bool:
+        """Returns whether all promises of this host have ended.
+
+        The previous process of this host may have promised up to the start.
+        """
+        times = [self._start]
+        if self._last_promise is not None:
+            times.append(self._last_promise.made)
+        return now - max(times) > _evidence.LEASE_TIME
+
+    def _turn_delay(self, situation: _release.Situation) -> datetime.timedelta:
+        """Returns how long a change must be wanted before this host acts."""
+        alive = [
+            member.host
+            for member in situation.lease.members
+            if self._members.is_fresh(member.host, situation.now)
+        ]
+        ranking = membership.rank(situation.lease.zone, alive)
+        position = ranking.index(self._members.host)
+        return min(position, _PROPOSER_MAX_RANK) * _PROPOSER_STAGGER
+
+    def _abandon_change(self, keep_wanted: bool = False) -> None:
+        """Lets this host promise again."""
+        self._stopped = False
+        if not keep_wanted:
+            self._wanted_since = None
--- a/src/sassafrashold/wire/gen/ttypes.py
+++ b/src/sassafrashold/wire/gen/ttypes.py
@@ -2045,8 +2045,8 @@
      - renewal_age_ms
      - known_members: Compact form of members whose description the receiver is likely to know:
     hash of the description, and at the same position the freshness age and
-    the age of the promise for `epoch` (-1 without one). Their released epoch
-    is `epoch`.
+    the age of the promise for `epoch` (-1 without one). In an answer their
+    released epoch is `epoch`.
      - freshness_ages_ms
      - promise_ages_ms
      - objects_digest: Hash of all keys and versions; `objects` is empty when it is equal.
--- a/src/sassafrashold/wire/idl/sassafras.thrift
+++ b/src/sassafrashold/wire/idl/sassafras.thrift
@@ -168,8 +168,8 @@
   /**
    * Compact form of members whose description the receiver is likely to know:
    * hash of the description, and at the same position the freshness age and
-   * the age of the promise for `epoch` (-1 without one). Their released epoch
-   * is `epoch`.
+   * the age of the promise for `epoch` (-1 without one). In an answer their
+   * released epoch is `epoch`.
    */
   7: optional list<i32> known_members;
   8: optional list<i32> freshness_ages_ms;
