--- /dev/null
+++ b/src/sassafrashold/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon: serves callers over HTTP."""
--- /dev/null
+++ b/src/sassafrashold/entry/_search_handler.py
@@ -0,0 +1,201 @@
+"""The search endpoint."""
+
+import asyncio
+import contextlib
+import datetime
+import secrets
+
+from aiohttp import web
+from opentelemetry import trace
+from reactivex import subject
+
+from sassafrashold import clock as clock_lib
+from sassafrashold import errors
+from sassafrashold import search
+from sassafrashold import table as table_lib
+from sassafrashold import telemetry
+from sassafrashold import views
+from sassafrashold.entry import _inputs
+from sassafrashold.entry import _recent
+from sassafrashold.entry import _responses
+from sassafrashold.telemetry import tracing
+
+_NDJSON = "application/x-ndjson"
+
+
+class SearchHandler:
+    """Answers `POST /v1/services/{service}/search`."""
+
+    def __init__(
+        self,
+        feed: views.Feed,
+        searcher: search.Searcher,
+        clock: clock_lib.Clock,
+        tracer: tracing.Tracer,
+        metrics: telemetry.Metrics,
+        recent: _recent.RecentRequests,
+    ) -> None:
+        self._feed = feed
+        self._searcher = searcher
+        self._clock = clock
+        self._tracer = tracer
+        self._metrics = metrics
+        self._recent = recent
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        """Answers one request."""
+        started = self._clock.monotonic()
+        record = _recent.RequestRecord(
+            "", "search", request.match_info["service"], self._clock.now(), ""
+        )
+        with self._tracer.span(
+            "search", request.headers.get("traceparent"), trace.SpanKind.SERVER
+        ) as span:
+            record.trace_id = format(span.get_span_context().trace_id, "032x")
+            try:
+                record.request_id = _inputs.request_id(
+                    request.headers.get(_responses.REQUEST_ID_HEADER)
+                )
+                span.set_attribute("request.id", record.request_id)
+                response = await self._search(
+                    request, record, tracing.header_of(span)
+                )
+            except errors.SassafrasError as error:
+                record.error = error
+                span.set_attribute("error.code", error.code.value)
+                self._metrics.count(f"search.refused.{error.code.value}")
+                response = _responses.refusal(error, record.request_id)
+            finally:
+                self._finish(record, started)
+            return response
+
+    def _finish(
+        self, record: _recent.RequestRecord, started: datetime.timedelta
+    ) -> None:
+        elapsed = self._clock.monotonic() - started
+        record.total_ms = clock_lib.to_ms(elapsed * 1000) / 1000
+        self._recent.add(record)
+        self._metrics.count("search.requests")
+        self._metrics.timing("search.time", elapsed)
+
+    async def _search(
+        self,
+        request: web.Request,
+        record: _recent.RequestRecord,
+        traceparent: str,
+    ) -> web.StreamResponse:
+        table = self._feed.current.table
+        if table is None:
+            raise errors.SearchError(
+                errors.ErrorCode.NOT_READY, "the table is not known yet"
+            )
+        row = _inputs.service_row(table, record.service, table_lib.Kind.SEARCH)
+        values = _inputs.search(
+            await read_body(request),
+            row,
+            {other.priority_class for other in table.rows},
+        )
+        record.deadline_ms = values.deadline_ms
+        record.priority_class = values.priority_class
+        search_request = search.SearchRequest(
+            # Two callers may state the same id, but the tier needs a unique
+            # one: a cancellation must not reach the request of another.
+            request_id=f"{record.request_id}~{secrets.token_hex(4)}",
+            service=row.service,
+            query=values.query,
+            deadline=record.received + clock_lib.from_ms(values.deadline_ms),
+            priority_class=values.priority_class,
+            allow_partial=values.allow_partial,
+            traceparent=traceparent,
+        )
+        if values.stream:
+            return await self._stream(request, search_request, row, record)
+        answer = await self._searcher.search(
+            search_request, row, record.plans.append
+        )
+        self._count_coverage(answer)
+        return _responses.answer(answer, record.request_id)
+
+    async def _stream(
+        self,
+        request: web.Request,
+        search_request: search.SearchRequest,
+        row: table_lib.ServiceRow,
+        record: _recent.RequestRecord,
+    ) -> web.StreamResponse:
+        """Sends a line per shard as it arrives, and last the coverage."""
+        response = web.StreamResponse(
+            headers={
+                "Content-Type": _NDJSON,
+                _responses.REQUEST_ID_HEADER: record.request_id,
+            }
+        )
+        lines: asyncio.Queue[bytes | None] = asyncio.Queue()
+        shard_rows: subject.Subject[search.ShardRows] = subject.Subject()
+        shard_rows.subscribe(
+            on_next=lambda rows: lines.put_nowait(_responses.shard_line(rows)),
+            on_completed=lambda: lines.put_nowait(None),
+        )
+        writer = asyncio.create_task(_write_lines(request, response, lines))
+        try:
+            answer = await self._searcher.search(
+                search_request, row, record.plans.append, shard_rows
+            )
+            self._count_coverage(answer)
+            last = _responses.last_line(answer, record.request_id)
+        except errors.SassafrasError as error:
+            if not response.prepared and lines.empty():
+                raise
+            record.error = error
+            last = _responses.error_line(error, record.request_id)
+        except BaseException:
+            writer.cancel()
+            raise
+        finally:
+            shard_rows.on_completed()
+        await writer
+        if not response.prepared:
+            await response.prepare(request)
+        await response.write(last)
+        await response.write_eof()
+        return response
+
+    def _count_coverage(self, answer: search.SearchAnswer) -> None:
+        self._metrics.count("search.shards_asked", answer.coverage.shards_asked)
+        if answer.coverage.partial:
+            self._metrics.count("search.partial")
+            self._metrics.count(
+                "search.shards_missing", len(answer.coverage.missing_shards)
+            )
+
+
+async def read_body(request: web.Request) -> bytes:
+    """Returns the body.
+
+    Raises:
+        SassafrasError: BODY_TOO_LARGE.
+    """
+    try:
+        return await request.read()
+    except web.HTTPRequestEntityTooLarge as error:
+        raise errors.SassafrasError(
+            errors.ErrorCode.BODY_TOO_LARGE,
+            f"the body has more than {_inputs.MAX_BODY_BYTES} bytes",
+            field="body",
+        ) from error
+
+
+async def _write_lines(
+    request: web.Request,
+    response: web.StreamResponse,
+    lines: asyncio.Queue[bytes | None],
+) -> None:
+    """Writes lines until None; a caller that has left ends the writing."""
+    line = await lines.get()
+    if line is None:
+        return
+    await response.prepare(request)
+    with contextlib.suppress(ConnectionError):
+        while line is not None:
+            await response.write(line)
+            line = await lines.get()
--- /dev/null
+++ b/src/sassafrashold/search/__init__.py
@@ -0,0 +1,41 @@
+"""Query plans over many shards: scatter, hedging, retries, coverage."""
+
+from sassafrashold.search._budget import ExtraLoadBudget
+from sassafrashold.search._coverage import Coverage
+from sassafrashold.search._leafs import LeafTracker
+from sassafrashold.search._plan import Attempt
+from sassafrashold.search._plan import AttemptKind
+from sassafrashold.search._plan import QueryPlan
+from sassafrashold.search._plan import Step
+from sassafrashold.search._replicas import ReplicaChooser
+from sassafrashold.search._request import AttemptReport
+from sassafrashold.search._request import PlanReport
+from sassafrashold.search._request import SearchAnswer
+from sassafrashold.search._request import SearchRequest
+from sassafrashold.search._request import ShardRows
+from sassafrashold.search._searcher import Searcher
+from sassafrashold.search._searcher import margin_of
+from sassafrashold.search._topology import Replica
+from sassafrashold.search._topology import ServiceTopology
+from sassafrashold.search._topology import Topologies
+
+__all__ = [
+    "Attempt",
+    "AttemptKind",
+    "AttemptReport",
+    "Coverage",
+    "ExtraLoadBudget",
+    "LeafTracker",
+    "PlanReport",
+    "QueryPlan",
+    "Replica",
+    "ReplicaChooser",
+    "SearchAnswer",
+    "SearchRequest",
+    "Searcher",
+    "ServiceTopology",
+    "ShardRows",
+    "Step",
+    "Topologies",
+    "margin_of",
+]
--- /dev/null
+++ b/src/sassafrashold/search/_leafs.py
@@ -0,0 +1,298 @@
+"""The entry's own picture of leafs and owners: latency, failures, back-off.
+
+Reports of leafs are hints only, so replicas are chosen by what this process
+has seen itself. Latencies include the hop to the owner and its queue.
+"""
+
+import datetime
+import random
+
+from hdrh import histogram
+
+from sassafrashold import settings
+
+_ZERO = datetime.timedelta()
+_MICROSECOND = datetime.timedelta(microseconds=1)
+HEDGE_DELAY_MIN = datetime.timedelta(milliseconds=2)
+# Used until a leaf has enough samples for a quantile of its own.
+HEDGE_DELAY_UNKNOWN = datetime.timedelta(milliseconds=20)
+
+_HEDGE_PERCENTILE = 95
+_HISTOGRAM_MAX_US = 60_000_000
+_HISTOGRAM_UNIT_US = 10
+_HISTOGRAM_DIGITS = 1
+_WINDOW = datetime.timedelta(seconds=5)
+_MIN_SAMPLES = 20
+_REFRESH_SAMPLES = 32
+
+_SAMPLE_WEIGHT = 0.1
+# A loser was cancelled at some time below its latency. Twice the time it had
+# run is the expectation for a latency whose tail falls with its square.
+_CENSORED_FACTOR = 2
+_SLOW_FACTOR = 2
+_SLOW_SLACK_US = 1000.0
+# A slow leaf gets one primary sub-query in this time, so that it is noticed
+# when it has recovered. Its answer counts much more than an ordinary sample.
+_PROBE_INTERVAL = datetime.timedelta(seconds=3)
+_PROBE_WEIGHT = 0.5
+
+_BACKOFF_MIN = datetime.timedelta(milliseconds=100)
+_BACKOFF_MAX = datetime.timedelta(seconds=5)
+_BACKOFF_MAX_DOUBLINGS = 6
+_BUSY_FOR = datetime.timedelta(milliseconds=50)
+_GONE_FOR = datetime.timedelta(seconds=10)
+
+
+class Backoff:
+    """Failure back-off of one peer: exponential, full jitter over a minimum."""
+
+    __slots__ = ("_failures", "_until")
+
+    def __init__(self) -> None:
+        self._failures = 0
+        self._until = _ZERO
+
+    def is_active(self, now: datetime.timedelta) -> bool:
+        """Returns whether the peer should be avoided."""
+        return self._failures > 0 and now < self._until
+
+    def fail(
+        self, now: datetime.timedelta, random_source: random.Random
+    ) -> None:
+        """Records a failure; failures of the same moment count once."""
+        if now < self._until:
+            return
+        doublings = min(self._failures, _BACKOFF_MAX_DOUBLINGS)
+        ceiling = min(_BACKOFF_MIN * 2**doublings, _BACKOFF_MAX)
+        self._failures += 1
+        self._until = now + ceiling * random_source.uniform(0.5, 1.0)
+
+    def avoid_for(
+        self, now: datetime.timedelta, duration: datetime.timedelta
+    ) -> None:
+        """Avoids the peer for a time that it asked for."""
+        self._failures = max(self._failures, 1)
+        self._until = max(self._until, now + min(duration, _BACKOFF_MAX))
+
+    def succeed(self) -> None:
+        """Records a success, which ends the back-off."""
+        self._failures = 0
+        self._until = _ZERO
+
+
+class LeafRecord:
+    """What is known of one leaf."""
+
+    __slots__ = (
+        "_current",
+        "_estimate_us",
+        "_hedge_delay",
+        "_is_probed",
+        "_next_probe",
+        "_previous",
+        "_samples",
+        "_since_refresh",
+        "_window_end",
+        "backoff",
+        "busy_until",
+        "in_flight",
+    )
+
+    def __init__(self) -> None:
+        self.backoff = Backoff()
+        self.busy_until = _ZERO
+        self.in_flight = 0
+        self._estimate_us = 0.0
+        self._next_probe = _ZERO
+        self._is_probed = False
+        self._hedge_delay: datetime.timedelta | None = None
+        self._current = _new_histogram()
+        self._previous = _new_histogram()
+        self._samples = 0
+        self._since_refresh = 0
+        self._window_end = _ZERO
+
+    @property
+    def estimate_us(self) -> float:
+        """Decaying mean of the latency; 0 if nothing is known."""
+        return self._estimate_us
+
+    def claim_probe(self, now: datetime.timedelta) -> bool:
+        """Returns whether a slow leaf may be tried again now, and notes it."""
+        if now < self._next_probe:
+            return False
+        self._next_probe = now + _PROBE_INTERVAL
+        self._is_probed = True
+        return True
+
+    def hedge_delay(self, now: datetime.timedelta) -> datetime.timedelta | None:
+        """Returns the leaf's p95; None without enough recent samples."""
+        if now >= self._window_end + _WINDOW:
+            return None
+        return self._hedge_delay
+
+    def record(
+        self, latency: datetime.timedelta, now: datetime.timedelta
+    ) -> None:
+        """Records the latency of an answered sub-query."""
+        micros = latency / _MICROSECOND
+        self._blend(micros, now)
+        if now >= self._window_end:
+            self._rotate(now)
+        self._current.record_value(
+            min(
+                max(int(micros / _HISTOGRAM_UNIT_US), 1),
+                _HISTOGRAM_MAX_US // _HISTOGRAM_UNIT_US,
+            )
+        )
+        self._samples += 1
+        self._since_refresh += 1
+        if self._since_refresh >= _REFRESH_SAMPLES or (
+            self._hedge_delay is None and self._samples >= _MIN_SAMPLES
+        ):
+            self._refresh()
+
+    def record_unfinished(
+        self, elapsed: datetime.timedelta, now: datetime.timedelta
+    ) -> None:
+        """Records a sub-query that was cancelled or given up unanswered."""
+        micros = elapsed / _MICROSECOND * _CENSORED_FACTOR
+        if micros > self._estimate_us:
+            self._blend(micros, now)
+
+    def _blend(self, micros: float, now: datetime.timedelta) -> None:
+        if not self._estimate_us:
+            self._estimate_us = micros
+            return
+        weight = _PROBE_WEIGHT if self._is_probed else _SAMPLE_WEIGHT
+        self._is_probed = False
+        self._estimate_us += weight * (micros - self._estimate_us)
+        self._next_probe = now + _PROBE_INTERVAL
+
+    def _rotate(self, now: datetime.timedelta) -> None:
+        self._previous, self._current = self._current, self._previous
+        if now >= self._window_end + _WINDOW:
+            self._previous.reset()
+        self._current.reset()
+        self._samples = self._previous.get_total_count()
+        self._window_end = now + _WINDOW
+
+    def _refresh(self) -> None:
+        self._since_refresh = 0
+        if self._samples < _MIN_SAMPLES:
+            self._hedge_delay = None
+            return
+        units = max(
+            recorded.get_value_at_percentile(_HEDGE_PERCENTILE)
+            for recorded in (self._current, self._previous)
+            if recorded.get_total_count()
+        )
+        self._hedge_delay = max(
+            units * _HISTOGRAM_UNIT_US * _MICROSECOND, HEDGE_DELAY_MIN
+        )
+
+
+class LeafTracker:
+    """The records of all leafs and owners that this process has talked to."""
+
+    def __init__(self, random_source: random.Random) -> None:
+        """Initializes an empty tracker.
+
+        Args:
+            random_source: Source of the jitter.
+        """
+        self._random = random_source
+        self._record_by_leaf: dict[str, LeafRecord] = {}
+        self._backoff_by_owner: dict[settings.Address, Backoff] = {}
+        self._gone_until: dict[tuple[str, str], datetime.timedelta] = {}
+        self.gone_changes = 0
+
+    def leaf(self, leaf_id: str) -> LeafRecord:
+        """Returns the record of a leaf."""
+        record = self._record_by_leaf.get(leaf_id)
+        if record is None:
+            record = self._record_by_leaf[leaf_id] = LeafRecord()
+        return record
+
+    def leaf_failed(self, leaf_id: str, now: datetime.timedelta) -> None:
+        """Records a failed call of a leaf."""
+        self.leaf(leaf_id).backoff.fail(now, self._random)
+
+    def leaf_busy(self, leaf_id: str, now: datetime.timedelta) -> None:
+        """Records that a leaf refused an extra call as busy or cold."""
+        self.leaf(leaf_id).busy_until = now + _BUSY_FOR
+
+    def owner_failed(
+        self, owner: settings.Address, now: datetime.timedelta
+    ) -> None:
+        """Records that an owner could not be reached."""
+        backoff = self._backoff_by_owner.setdefault(owner, Backoff())
+        backoff.fail(now, self._random)
+
+    def owner_answered(self, owner: settings.Address) -> None:
+        """Records any answer of an owner."""
+        if self._backoff_by_owner:
+            self._backoff_by_owner.pop(owner, None)
+
+    def is_owner_avoided(
+        self, owner: settings.Address, now: datetime.timedelta
+    ) -> bool:
+        """Returns whether an owner was unreachable a short while ago."""
+        backoff = self._backoff_by_owner.get(owner)
+        return backoff is not None and backoff.is_active(now)
+
+    def has_unreachable_owners(self) -> bool:
+        """Returns whether any owner failed since it last answered."""
+        return bool(self._backoff_by_owner)
+
+    def version_gone(
+        self, leaf_id: str, version: str, now: datetime.timedelta
+    ) -> None:
+        """Records that a leaf no longer holds a version."""
+        if not self.is_version_gone(leaf_id, version, now):
+            self.gone_changes += 1
+        self._gone_until[(leaf_id, version)] = now + _GONE_FOR
+
+    def is_version_gone(
+        self, leaf_id: str, version: str, now: datetime.timedelta
+    ) -> bool:
+        """Returns whether a leaf said a short while ago to lack a version."""
+        until = self._gone_until.get((leaf_id, version))
+        return until is not None and now < until
+
+    def expire(self, now: datetime.timedelta) -> None:
+        """Forgets the versions whose time has passed."""
+        expired = [
+            key for key, until in self._gone_until.items() if now >= until
+        ]
+        for key in expired:
+            del self._gone_until[key]
+        self.gone_changes += bool(expired)
+
+    def retain(self, leaf_ids: frozenset[str]) -> None:
+        """Forgets all leafs that are not in `leaf_ids`."""
+        for leaf_id in self._record_by_leaf.keys() - leaf_ids:
+            del self._record_by_leaf[leaf_id]
+
+    def leaf_facts(
+        self, now: datetime.timedelta
+    ) -> dict[str, tuple[datetime.timedelta, bool]]:
+        """Returns latency estimate and back-off state by leaf id."""
+        return {
+            leaf_id: (
+                record.estimate_us * _MICROSECOND,
+                record.backoff.is_active(now),
+            )
+            for leaf_id, record in self._record_by_leaf.items()
+        }
+
+
+def is_slow(estimate_us: float, best_us: float) -> bool:
+    """Returns whether a leaf is too slow next to the best replica."""
+    return estimate_us > best_us * _SLOW_FACTOR + _SLOW_SLACK_US
+
+
+def _new_histogram() -> histogram.HdrHistogram:
+    return histogram.HdrHistogram(
+        1, _HISTOGRAM_MAX_US // _HISTOGRAM_UNIT_US, _HISTOGRAM_DIGITS
+    )
--- /dev/null
+++ b/src/sassafrashold/search/_plan.py
@@ -0,0 +1,493 @@
+"""The query plan: the aggregate that decides about one pinned query."""
+
+import dataclasses
+import datetime
+import enum
+import heapq
+import itertools
+import random
+import typing
+
+from sassafrashold import errors
+from sassafrashold.search import _budget
+from sassafrashold.search import _coverage
+from sassafrashold.search import _failures
+from sassafrashold.search import _leafs
+from sassafrashold.search import _replicas
+from sassafrashold.search import _topology
+
+_RETRY_BASE = datetime.timedelta(milliseconds=5)
+_RETRY_CEILING = datetime.timedelta(milliseconds=200)
+_RETRY_MAX_DOUBLINGS = 6
+_MAX_PAID_RETRIES = 5
+
+
+class AttemptKind(enum.Enum):
+    """Why a sub-query is sent."""
+
+    PRIMARY = "primary"
+    HEDGE = "hedge"
+    RETRY = "retry"
+
+
+class Attempt:
+    """One sub-query that was sent for a shard; its outcome is set once."""
+
+    __slots__ = (
+        "ended",
+        "extra",
+        "kind",
+        "leaf_ms",
+        "number",
+        "outcome",
+        "queue_ms",
+        "replica",
+        "shard",
+        "started",
+    )
+
+    def __init__(
+        self,
+        number: int,
+        shard: int,
+        replica: _topology.Replica,
+        kind: AttemptKind,
+        extra: bool,
+        started: datetime.timedelta,
+    ) -> None:
+        self.number = number
+        self.shard = shard
+        self.replica = replica
+        self.kind = kind
+        self.extra = extra
+        self.started = started
+        self.ended: datetime.timedelta | None = None
+        self.outcome = "OPEN"
+        self.queue_ms: int | None = None
+        self.leaf_ms: int | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Step:
+    """What the scatter has to do after an event."""
+
+    send: tuple[Attempt, ...] = ()
+    """Sub-queries to send."""
+
+    abandoned: tuple[Attempt, ...] = ()
+    """Open sub-queries whose results are no longer wanted."""
+
+
+_NOTHING = Step()
+
+
+class _Timer(enum.Enum):
+    HEDGE = 0
+    RETRY = 1
+    PAID_RETRY = 2
+
+
+class _Shard:
+    """State of one shard of the query."""
+
+    __slots__ = (
+        "error",
+        "excluded",
+        "free_retries",
+        "gone",
+        "number",
+        "open",
+        "paid_retries",
+        "replicas",
+        "rows",
+        "settled",
+        "tried",
+    )
+
+    def __init__(
+        self, number: int, replicas: tuple[_topology.Replica, ...]
+    ) -> None:
+        self.number = number
+        self.replicas = replicas
+        self.open: list[Attempt] = []
+        self.tried: set[str] = set()
+        self.excluded: set[str] = set()
+        self.gone = 0
+        self.paid_retries = 0
+        self.free_retries = 0
+        self.settled = False
+        self.rows: bytes | None = None
+        self.error: errors.SassafrasError | None = None
+
+
+class QueryPlan:
+    """Tracks each shard and takes exactly one result for it.
+
+    Only results of the pinned version are taken. The caller reports events and
+    carries out the returned steps; the plan does no I/O. Times are monotonic.
+    """
+
+    def __init__(
+        self,
+        topology: _topology.ServiceTopology,
+        chooser: _replicas.ReplicaChooser,
+        tracker: _leafs.LeafTracker,
+        budget: _budget.ExtraLoadBudget,
+        random_source: random.Random,
+        deadline: datetime.timedelta,
+        hedging: bool = True,
+    ) -> None:
+        """Initializes the plan.
+
+        Args:
+            topology: The pinned version and its usable replicas.
+            chooser: Chooses replicas.
+            tracker: Gets latencies and failures.
+            budget: Pays for hedges and retries.
+            random_source: Source of the retry jitter.
+            deadline: Time at which the answer is made from what is there.
+            hedging: Whether to hedge.
+        """
+        self._topology = topology
+        self._chooser = chooser
+        self._tracker = tracker
+        self._budget = budget
+        self._random = random_source
+        self._deadline = deadline
+        self._hedging = hedging
+        self._shards = [
+            _Shard(number, replicas)
+            for number, replicas in enumerate(topology.replicas_by_shard)
+        ]
+        self._timers: list[
+            tuple[datetime.timedelta, int, _Shard, _Timer, Attempt | None]
+        ] = []
+        self._timer_numbers = itertools.count()
+        self._unsettled = 0
+        self._certainly_not_run = True
+        self.attempts: list[Attempt] = []
+        self.version_gone = False
+        self.late_results = 0
+
+    @property
+    def version(self) -> str:
+        """Name of the pinned version."""
+        return self._topology.version
+
+    @property
+    def finished(self) -> bool:
+        """Whether every shard has a result or has failed for good."""
+        return self._unsettled == 0
+
+    @property
+    def certainly_not_run(self) -> bool:
+        """Whether no sub-query can have run at a leaf."""
+        return self._certainly_not_run and not any(
+            attempt.ended is None for attempt in self.attempts
+        )
+
+    def is_overdue(self, now: datetime.timedelta) -> bool:
+        """Returns whether the deadline of the plan has passed."""
+        return now >= self._deadline
+
+    def next_due(self) -> datetime.timedelta:
+        """Returns when `on_time` has to be called at the latest."""
+        if self._timers:
+            return min(self._timers[0][0], self._deadline)
+        return self._deadline
+
+    def coverage(self) -> _coverage.Coverage:
+        """Returns which shards have a result."""
+        return _coverage.Coverage(
+            len(self._shards),
+            tuple(s.number for s in self._shards if s.rows is None),
+        )
+
+    def rows(self) -> list[bytes]:
+        """Returns the results that were taken, ordered by shard."""
+        return [s.rows for s in self._shards if s.rows is not None]
+
+    def error_by_shard(self) -> dict[int, errors.SassafrasError]:
+        """Returns the last error of each shard without a result."""
+        return {
+            s.number: s.error
+            for s in self._shards
+            if s.rows is None and s.error is not None
+        }
+
+    def start(self, now: datetime.timedelta) -> Step:
+        """Returns the primary sub-queries."""
+        served = [shard for shard in self._shards if shard.replicas]
+        for shard in self._shards:
+            shard.settled = not shard.replicas
+        self._unsettled = len(served)
+        self._budget.earn(len(served))
+        return Step(
+            tuple(
+                self._attempt(
+                    shard,
+                    self._chooser.primary(shard.replicas, now),
+                    AttemptKind.PRIMARY,
+                    False,
+                    now,
+                )
+                for shard in served
+            )
+        )
+
+    def on_rows(
+        self,
+        attempt: Attempt,
+        version: str | None,
+        rows: bytes,
+        now: datetime.timedelta,
+    ) -> Step:
+        """Takes the result of a sub-query.
+
+        A result for a shard that has one is dropped and counted. A result of
+        another version counts as a failure.
+        """
+        if version != self.version:
+            return self.on_failure(
+                attempt,
+                errors.SearchError(
+                    errors.ErrorCode.VERSION_MISMATCH,
+                    f"leaf {attempt.replica.leaf_id} answered from version "
+                    f"{version!r}, asked for {self.version!r}",
+                    ran=errors.Ran.OUTCOME_UNKNOWN,
+                ),
+                now,
+            )
+        shard = self._shards[attempt.shard]
+        self._certainly_not_run = False
+        if attempt.ended is not None or shard.settled:
+            self.late_results += 1
+            return _NOTHING
+        self._end(attempt, "OK", now)
+        record = attempt.replica.record
+        record.record(now - attempt.started, now)
+        record.backoff.succeed()
+        shard.rows = rows
+        return self._settle(shard, now)
+
+    def on_failure(
+        self,
+        attempt: Attempt,
+        error: errors.SassafrasError,
+        now: datetime.timedelta,
+    ) -> Step:
+        """Takes the failure of a sub-query and plans what follows."""
+        shard = self._shards[attempt.shard]
+        if error.ran is not errors.Ran.NOT_RUN:
+            self._certainly_not_run = False
+        if attempt.ended is not None:
+            return _NOTHING
+        self._end(attempt, error.code.value, now)
+        self._blame(attempt, error, now)
+        if shard.settled:
+            return _NOTHING
+        shard.error = error
+        reaction = _failures.reaction_to(error)
+        if reaction is _failures.Reaction.EXCLUDE:
+            self._exclude(shard, attempt, error)
+        if shard.open:
+            # A failed hedge does not use up the chance of another one.
+            self._schedule(now, shard, _Timer.HEDGE, shard.open[0])
+            return _NOTHING
+        return self._react(shard, reaction, now)
+
+    def _react(
+        self,
+        shard: _Shard,
+        reaction: _failures.Reaction,
+        now: datetime.timedelta,
+    ) -> Step:
+        """Goes on with a shard that has no open sub-query left."""
+        match reaction:
+            case _failures.Reaction.GIVE_UP:
+                return self._settle(shard, now)
+            case _failures.Reaction.EXCLUDE:
+                return self._retry(shard, now, extra=False)
+            case _failures.Reaction.REPEAT:
+                self._schedule_retry(shard, shard.free_retries, now)
+                shard.free_retries += 1
+                return _NOTHING
+            case _failures.Reaction.PAY:
+                return self._schedule_paid_retry(shard, now)
+        typing.assert_never(reaction)
+
+    def on_time(self, now: datetime.timedelta) -> Step:
+        """Sends the hedges and retries that are due."""
+        if now >= self._deadline:
+            return self.close(now)
+        send: list[Attempt] = []
+        while self._timers and self._timers[0][0] <= now:
+            _, _, shard, timer, attempt = heapq.heappop(self._timers)
+            if not shard.settled:
+                send.extend(self._fire(shard, timer, attempt, now).send)
+        return Step(tuple(send)) if send else _NOTHING
+
+    def close(self, now: datetime.timedelta) -> Step:
+        """Ends the plan; shards without a result are missing."""
+        abandoned: list[Attempt] = []
+        for shard in self._shards:
+            if not shard.settled:
+                abandoned.extend(
+                    self._settle(shard, now, "UNANSWERED").abandoned
+                )
+        return Step(abandoned=tuple(abandoned))
+
+    def _attempt(
+        self,
+        shard: _Shard,
+        replica: _topology.Replica,
+        kind: AttemptKind,
+        extra: bool,
+        now: datetime.timedelta,
+    ) -> Attempt:
+        attempt = Attempt(
+            len(self.attempts), shard.number, replica, kind, extra, now
+        )
+        self.attempts.append(attempt)
+        replica.record.in_flight += 1
+        shard.open.append(attempt)
+        shard.tried.add(replica.leaf_id)
+        if self._hedging and len(shard.replicas) > 1:
+            delay = self._chooser.hedge_delay(replica, shard.replicas, now)
+            self._schedule(now + delay, shard, _Timer.HEDGE, attempt)
+        return attempt
+
+    def _end(
+        self, attempt: Attempt, outcome: str, now: datetime.timedelta
+    ) -> None:
+        attempt.ended = now
+        attempt.outcome = outcome
+        attempt.replica.record.in_flight -= 1
+        self._shards[attempt.shard].open.remove(attempt)
+
+    def _settle(
+        self, shard: _Shard, now: datetime.timedelta, outcome: str = "CANCELLED"
+    ) -> Step:
+        """Closes a shard; its open sub-queries are no longer wanted."""
+        shard.settled = True
+        self._unsettled -= 1
+        if not shard.open:
+            return _NOTHING
+        abandoned = tuple(shard.open)
+        for attempt in abandoned:
+            # Whether the leaf ran it stays unknown.
+            self._certainly_not_run = False
+            self._end(attempt, outcome, now)
+            attempt.replica.record.record_unfinished(now - attempt.started, now)
+        return Step(abandoned=abandoned)
+
+    def _blame(
+        self,
+        attempt: Attempt,
+        error: errors.SassafrasError,
+        now: datetime.timedelta,
+    ) -> None:
+        """Tells the tracker what a failure says about the leaf."""
+        leaf_id = attempt.replica.leaf_id
+        if error.code is errors.ErrorCode.LEAF_BUSY:
+            self._tracker.leaf_busy(leaf_id, now)
+        elif error.code is errors.ErrorCode.VERSION_GONE:
+            self._tracker.version_gone(leaf_id, self.version, now)
+        elif error.retry_after is not None:
+            attempt.replica.record.backoff.avoid_for(now, error.retry_after)
+        elif _failures.is_leaf_fault(error):
+            self._tracker.leaf_failed(leaf_id, now)
+        elif error.code is errors.ErrorCode.DEADLINE_EXCEEDED:
+            attempt.replica.record.record_unfinished(now - attempt.started, now)
+
+    def _exclude(
+        self, shard: _Shard, attempt: Attempt, error: errors.SassafrasError
+    ) -> None:
+        shard.excluded.add(attempt.replica.leaf_id)
+        if error.code is errors.ErrorCode.VERSION_GONE:
+            shard.gone += 1
+            if shard.gone == len(shard.replicas):
+                self.version_gone = True
+
+    def _fire(
+        self,
+        shard: _Shard,
+        timer: _Timer,
+        attempt: Attempt | None,
+        now: datetime.timedelta,
+    ) -> Step:
+        match timer:
+            case _Timer.HEDGE:
+                return self._hedge(shard, attempt, now)
+            case _Timer.RETRY:
+                return self._retry(shard, now, extra=False)
+            case _Timer.PAID_RETRY:
+                if self._budget.try_spend():
+                    return self._retry(shard, now, extra=True)
+                return self._schedule_paid_retry(shard, now)
+        typing.assert_never(timer)
+
+    def _hedge(
+        self, shard: _Shard, attempt: Attempt | None, now: datetime.timedelta
+    ) -> Step:
+        """Sends a hedge for an attempt that is still the only open one."""
+        if attempt is None or shard.open != [attempt]:
+            return _NOTHING
+        replica = self._chooser.hedge(shard.replicas, now, shard.tried)
+        if replica is None:
+            return _NOTHING
+        if not self._budget.try_spend():
+            # Another query may leave a token before this one ends.
+            wait = max(now - attempt.started, _leafs.HEDGE_DELAY_MIN)
+            self._schedule(now + wait, shard, _Timer.HEDGE, attempt)
+            return _NOTHING
+        hedge = self._attempt(shard, replica, AttemptKind.HEDGE, True, now)
+        return Step((hedge,))
+
+    def _retry(
+        self, shard: _Shard, now: datetime.timedelta, extra: bool
+    ) -> Step:
+        replica = self._chooser.retry(
+            shard.replicas, now, shard.excluded, shard.tried
+        )
+        if replica is None:
+            return self._settle(shard, now)
+        return Step(
+            (self._attempt(shard, replica, AttemptKind.RETRY, extra, now),)
+        )
+
+    def _schedule_paid_retry(
+        self, shard: _Shard, now: datetime.timedelta
+    ) -> Step:
+        """Schedules a retry against the budget, or gives the shard up."""
+        if shard.paid_retries >= _MAX_PAID_RETRIES:
+            return self._settle(shard, now)
+        self._schedule_retry(shard, shard.paid_retries, now, _Timer.PAID_RETRY)
+        shard.paid_retries += 1
+        return _NOTHING
+
+    def _schedule_retry(
+        self,
+        shard: _Shard,
+        earlier: int,
+        now: datetime.timedelta,
+        timer: _Timer = _Timer.RETRY,
+    ) -> None:
+        ceiling = min(
+            _RETRY_BASE * 2 ** min(earlier, _RETRY_MAX_DOUBLINGS),
+            _RETRY_CEILING,
+        )
+        due = now + ceiling * self._random.random()
+        self._schedule(due, shard, timer, None)
+
+    def _schedule(
+        self,
+        due: datetime.timedelta,
+        shard: _Shard,
+        timer: _Timer,
+        attempt: Attempt | None,
+    ) -> None:
+        heapq.heappush(
+            self._timers,
+            (due, next(self._timer_numbers), shard, timer, attempt),
+        )
--- /dev/null
+++ b/src/sassafrashold/search/_replicas.py
@@ -0,0 +1,143 @@
+"""The choice of a replica for a shard."""
+
+from collections.abc import Callable
+from collections.abc import Collection
+from collections.abc import Sequence
+import datetime
+import random
+
+from sassafrashold import settings
+from sassafrashold.search import _leafs
+from sassafrashold.search import _topology
+
+
+class ReplicaChooser:
+    """Chooses leafs by zone weight, own load, latency and failures.
+
+    A replica is healthy if neither its leaf nor its owner is in failure
+    back-off and its zone can be reached. Among healthy replicas that are not
+    slow, the choice is random in proportion to the zone weight divided by the
+    sub-queries that this process already has open at the leaf.
+    """
+
+    def __init__(
+        self,
+        tracker: _leafs.LeafTracker,
+        random_source: random.Random,
+        owner_of: Callable[[_topology.Replica], settings.Address | None],
+        unreachable_zones: frozenset[str] = frozenset(),
+    ) -> None:
+        """Initializes the chooser for one query.
+
+        Args:
+            tracker: What this process has seen of leafs and owners.
+            random_source: Source of the weighted choice.
+            owner_of: Returns the address to which a sub-query would be sent.
+            unreachable_zones: Zones to avoid.
+        """
+        self._tracker = tracker
+        self._random = random_source
+        self._owner_of = owner_of
+        self._zones = unreachable_zones
+        self._check_owners = tracker.has_unreachable_owners()
+
+    def primary(
+        self, replicas: Sequence[_topology.Replica], now: datetime.timedelta
+    ) -> _topology.Replica:
+        """Chooses the replica for the first attempt."""
+        if len(replicas) == 1:
+            return replicas[0]
+        healthy = [r for r in replicas if self._is_healthy(r, now)]
+        return self._pick(healthy or replicas, now)
+
+    def hedge(
+        self,
+        replicas: Sequence[_topology.Replica],
+        now: datetime.timedelta,
+        tried: Collection[str],
+    ) -> _topology.Replica | None:
+        """Chooses a healthy replica that can take an extra sub-query."""
+        candidates = [
+            r
+            for r in replicas
+            if r.leaf_id not in tried
+            and now >= r.record.busy_until
+            and self._is_healthy(r, now)
+        ]
+        return self._pick(candidates, now) if candidates else None
+
+    def retry(
+        self,
+        replicas: Sequence[_topology.Replica],
+        now: datetime.timedelta,
+        excluded: Collection[str],
+        tried: Collection[str],
+    ) -> _topology.Replica | None:
+        """Chooses a replica after a failure, rather one not tried yet."""
+        allowed = [r for r in replicas if r.leaf_id not in excluded]
+        if not allowed:
+            return None
+        healthy = [r for r in allowed if self._is_healthy(r, now)]
+        fresh = [r for r in healthy if r.leaf_id not in tried]
+        untried = [r for r in allowed if r.leaf_id not in tried]
+        return self._pick(fresh or untried or healthy or allowed, now)
+
+    def hedge_delay(
+        self,
+        replica: _topology.Replica,
+        replicas: Sequence[_topology.Replica],
+        now: datetime.timedelta,
+    ) -> datetime.timedelta:
+        """Returns the p95 of the leaf after which a hedge is due.
+
+        A leaf without enough recent samples borrows the lowest p95 among the
+        replicas of its shard.
+        """
+        delay = replica.record.hedge_delay(now)
+        if delay is not None:
+            return delay
+        known = [
+            delay
+            for delay in (r.record.hedge_delay(now) for r in replicas)
+            if delay is not None
+        ]
+        return min(known, default=_leafs.HEDGE_DELAY_UNKNOWN)
+
+    def _is_healthy(
+        self, replica: _topology.Replica, now: datetime.timedelta
+    ) -> bool:
+        if replica.record.backoff.is_active(now):
+            return False
+        if replica.zone in self._zones:
+            return False
+        if not self._check_owners:
+            return True
+        owner = self._owner_of(replica)
+        return owner is not None and not self._tracker.is_owner_avoided(
+            owner, now
+        )
+
+    def _pick(
+        self, replicas: Sequence[_topology.Replica], now: datetime.timedelta
+    ) -> _topology.Replica:
+        if len(replicas) == 1:
+            return replicas[0]
+        best_us = min(r.record.estimate_us for r in replicas)
+        weights = []
+        total = 0.0
+        for replica in replicas:
+            record = replica.record
+            if _leafs.is_slow(record.estimate_us, best_us):
+                if record.claim_probe(now):
+                    return replica
+                weights.append(0.0)
+                continue
+            weight = replica.weight / (1 + record.in_flight)
+            weights.append(weight)
+            total += weight
+        position = self._random.random() * total
+        for replica, weight in zip(replicas, weights, strict=True):
+            position -= weight
+            if position < 0:
+                return replica
+        return replicas[max(range(len(weights)), key=weights.__getitem__)]
--- /dev/null
+++ b/src/sassafrashold/search/_scatter.py
@@ -0,0 +1,272 @@
+"""Sends sub-queries to owners and reports their results."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+import contextlib
+import dataclasses
+import datetime
+from typing import Any
+
+from opentelemetry import trace
+
+from sassafrashold import errors
+from sassafrashold import rpc
+from sassafrashold import settings
+from sassafrashold import telemetry
+from sassafrashold import wire
+from sassafrashold.search import _leafs
+from sassafrashold.search import _plan
+from sassafrashold.search import _request
+from sassafrashold.telemetry import tracing
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rows:
+    """A sub-query has a result."""
+
+    attempt: _plan.Attempt
+    """The sub-query."""
+
+    version: str | None
+    """Version that the result is from."""
+
+    rows: bytes
+    """JSON array."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failure:
+    """A sub-query has failed."""
+
+    attempt: _plan.Attempt
+    """The sub-query."""
+
+    error: errors.SassafrasError
+    """Why."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tick:
+    """A timer of the plan is due."""
+
+
+Event = Rows | Failure | Tick
+
+
+class _Message:
+    """One scatter message under way; owned by its task."""
+
+    def __init__(
+        self, address: settings.Address, attempts: list[_plan.Attempt]
+    ) -> None:
+        self.address = address
+        self.open_by_key = {(a.shard, a.replica.leaf_id): a for a in attempts}
+        self.answered = False
+        self.task: asyncio.Task[None] | None = None
+
+
+class Scatter:
+    """The messages of one plan.
+
+    Sub-queries for the same address travel in one message. A message is
+    cancelled when none of its sub-queries is wanted any more.
+    """
+
+    def __init__(
+        self,
+        request: _request.SearchRequest,
+        version: str,
+        deadline: datetime.datetime,
+        pool: rpc.Pool,
+        tracker: _leafs.LeafTracker,
+        tracer: tracing.Tracer,
+        metrics: telemetry.Metrics,
+        report: Callable[[Event], None],
+        monotonic: Callable[[], datetime.timedelta],
+    ) -> None:
+        """Initializes the scatter.
+
+        Args:
+            request: The search.
+            version: The pinned version.
+            deadline: Wall time that the owners are told.
+            pool: Connections to owners.
+            tracker: Gets failures of owners.
+            tracer: Starts a span for each message.
+            metrics: Counts results that nobody asked for.
+            report: Gets each event; called on the event loop.
+            monotonic: Returns the monotonic time.
+        """
+        self._request = request
+        self._version = version
+        self._deadline = deadline
+        self._pool = pool
+        self._tracker = tracker
+        self._tracer = tracer
+        self._metrics = metrics
+        self._report = report
+        self._monotonic = monotonic
+        self._message_by_attempt: dict[int, _Message] = {}
+        self._messages: set[_Message] = set()
+
+    def send(
+        self,
+        attempts: Iterable[_plan.Attempt],
+        address_of: Callable[[_plan.Attempt], settings.Address | None],
+    ) -> None:
+        """Starts one message for each address."""
+        by_address: dict[settings.Address, list[_plan.Attempt]] = {}
+        for attempt in attempts:
+            address = address_of(attempt)
+            if address is None:
+                self._report(Failure(attempt, _no_owner(attempt)))
+                continue
+            by_address.setdefault(address, []).append(attempt)
+        for address, group in by_address.items():
+            message = _Message(address, group)
+            for attempt in group:
+                self._message_by_attempt[attempt.number] = message
+            message.task = asyncio.create_task(self._run(message, group))
+            self._messages.add(message)
+
+    def abandon(self, attempts: Iterable[_plan.Attempt]) -> None:
+        """Cancels the messages that have no wanted sub-query left."""
+        for attempt in attempts:
+            message = self._message_by_attempt.get(attempt.number)
+            if message is None:
+                continue
+            message.open_by_key.pop(
+                (attempt.shard, attempt.replica.leaf_id), None
+            )
+            if not message.open_by_key and message.task is not None:
+                message.task.cancel()
+
+    async def close(self, unanswered: bool) -> None:
+        """Cancels all messages and waits for their tasks.
+
+        Args:
+            unanswered: Whether the deadline has passed, so that an owner that
+                has sent nothing counts as unreachable.
+        """
+        tasks = []
+        for message in self._messages:
+            if unanswered and not message.answered:
+                self._tracker.owner_failed(message.address, self._monotonic())
+            if message.task is not None:
+                message.task.cancel()
+                tasks.append(message.task)
+        if tasks:
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _run(
+        self, message: _Message, attempts: list[_plan.Attempt]
+    ) -> None:
+        request = self._request
+        with self._tracer.span(
+            "scatter", request.traceparent, trace.SpanKind.CLIENT
+        ) as span:
+            span.set_attribute("peer", str(message.address))
+            span.set_attribute("subqueries", len(attempts))
+            try:
+                await self._stream(
+                    message, self._encode(attempts), tracing.header_of(span)
+                )
+                error: errors.SassafrasError = errors.RpcError(
+                    errors.ErrorCode.INTERNAL,
+                    f"owner {message.address} ended without this result",
+                    ran=errors.Ran.OUTCOME_UNKNOWN,
+                )
+            except errors.SassafrasError as caught:
+                error = caught
+                span.set_attribute("error.code", caught.code.value)
+                self._blame_owner(message, caught)
+            finally:
+                self._messages.discard(message)
+        for attempt in list(message.open_by_key.values()):
+            self._report(Failure(attempt, error))
+
+    async def _stream(
+        self, message: _Message, body: bytes, traceparent: str
+    ) -> None:
+        client = self._pool.get(message.address)
+        async with contextlib.aclosing(
+            client.stream(
+                "scatter",
+                body,
+                deadline=self._deadline,
+                traceparent=traceparent,
+            )
+        ) as items:
+            async for item in items:
+                if not message.answered:
+                    message.answered = True
+                    self._tracker.owner_answered(message.address)
+                self._receive(message, item)
+
+    def _receive(self, message: _Message, item: bytes) -> None:
+        try:
+            result = wire.decode(wire.messages.ShardResult, item)
+        except wire.CodecError:
+            # The last item is a ScatterEnd, which lacks the required leaf.
+            return
+        attempt = message.open_by_key.pop((result.shard, result.leaf), None)
+        if attempt is None:
+            self._metrics.count("search.unexpected_results")
+            return
+        attempt.queue_ms = result.queue_ms
+        attempt.leaf_ms = result.leaf_ms
+        self._report(_event(attempt, result))
+
+    def _encode(self, attempts: list[_plan.Attempt]) -> bytes:
+        return wire.encode(
+            wire.messages.ScatterRequest(
+                request_id=self._request.request_id,
+                service_name=self._request.service,
+                index_version=self._version,
+                query=self._request.query,
+                subqueries=[
+                    wire.messages.SubQuery(
+                        shard=attempt.shard,
+                        leaf=attempt.replica.leaf_id,
+                        extra=attempt.extra,
+                    )
+                    for attempt in attempts
+                ],
+                priority_class=self._request.priority_class,
+                hops=0,
+            )
+        )
+
+    def _blame_owner(
+        self, message: _Message, error: errors.SassafrasError
+    ) -> None:
+        unreachable = error.code in (
+            errors.ErrorCode.UNAVAILABLE,
+            errors.ErrorCode.CONNECTION_LOST,
+        )
+        if unreachable and not message.answered:
+            self._tracker.owner_failed(message.address, self._monotonic())
+
+
+def _event(attempt: _plan.Attempt, result: Any) -> Event:
+    if result.error is not None:
+        return Failure(attempt, wire.error_from_wire(result.error))
+    rows = result.rows
+    if rows is None or rows[:1] != b"[" or rows[-1:] != b"]":
+        return Failure(
+            attempt,
+            errors.SearchError(
+                errors.ErrorCode.LEAF_FAILED,
+                f"leaf {result.leaf} sent no JSON array",
+                ran=errors.Ran.OUTCOME_UNKNOWN,
+            ),
+        )
+    return Rows(attempt, result.index_version, rows)
+
+
+def _no_owner(attempt: _plan.Attempt) -> errors.SassafrasError:
+    return errors.SearchError(
+        errors.ErrorCode.UNAVAILABLE,
+        f"no owner is known for leaf {attempt.replica.leaf_id}",
+    )
--- /dev/null
+++ b/src/sassafrashold/search/_topology.py
@@ -0,0 +1,192 @@
+"""What a query of one service can use: replicas, weights, owners."""
+
+from collections.abc import Mapping
+import dataclasses
+import datetime
+
+from sassafrashold import index
+from sassafrashold import lease
+from sassafrashold import table as table_lib
+from sassafrashold import views
+from sassafrashold.search import _leafs
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Replica:
+    """A leaf that can be asked for a shard."""
+
+    leaf_id: str
+    """Id of the leaf."""
+
+    zone: str
+    """Its availability zone."""
+
+    weight: int
+    """Weight of the zone in the row of the service."""
+
+    record: _leafs.LeafRecord
+    """What this process has seen of the leaf."""
+
+
+@dataclasses.dataclass(frozen=True)
+class ServiceTopology:
+    """The pinned version of a service and its replicas."""
+
+    row: table_lib.ServiceRow
+    """Row of the service."""
+
+    version: str
+    """Name of the pinned version."""
+
+    replicas_by_shard: tuple[tuple[Replica, ...], ...]
+    """Usable replicas; the position is the shard."""
+
+    missing_shards: tuple[int, ...]
+    """Shards without a usable replica."""
+
+    @property
+    def served_share(self) -> float:
+        """Part of the shards that have a usable replica."""
+        shards = len(self.replicas_by_shard)
+        return (shards - len(self.missing_shards)) / shards if shards else 0.0
+
+
+class Topologies:
+    """Derives the topology of each service from the view; caches it.
+
+    A view changes with each renewal of a lease, but tables and shard maps
+    rarely do, so entries are kept as long as the objects they come from.
+    """
+
+    def __init__(self, tracker: _leafs.LeafTracker) -> None:
+        self._tracker = tracker
+        self._inputs: tuple[object, ...] = ()
+        self._by_service: dict[
+            tuple[str, frozenset[str]],
+            tuple[index.ShardMap, ServiceTopology | None],
+        ] = {}
+
+    def get(
+        self,
+        view: views.View,
+        row: table_lib.ServiceRow,
+        now: datetime.timedelta,
+        excluded: frozenset[str] = frozenset(),
+    ) -> ServiceTopology | None:
+        """Returns the topology of a service; None without any version.
+
+        Args:
+            view: The current view.
+            row: Row of the service.
+            now: Monotonic time.
+            excluded: Versions that must not be chosen.
+        """
+        shardmap = view.shardmap_by_service.get(row.service)
+        if shardmap is None:
+            return None
+        inputs = (view.table, view.host_list, self._tracker.gone_changes)
+        if not _same(inputs, self._inputs):
+            self._inputs = inputs
+            self._by_service.clear()
+        key = (row.service, excluded)
+        known = self._by_service.get(key)
+        if known is None or known[0] is not shardmap:
+            known = (shardmap, self._derive(view, row, shardmap, now, excluded))
+            self._by_service[key] = known
+        return known[1]
+
+    def _derive(
+        self,
+        view: views.View,
+        row: table_lib.ServiceRow,
+        shardmap: index.ShardMap,
+        now: datetime.timedelta,
+        excluded: frozenset[str],
+    ) -> ServiceTopology | None:
+        def is_usable(leaf: index.Leaf, version: str) -> bool:
+            return (
+                row.weight_by_zone.get(leaf.zone, 0) > 0
+                and not view.is_out(leaf)
+                and not self._tracker.is_version_gone(
+                    leaf.leaf_id, version, now
+                )
+            )
+
+        choice = index.choose_version(shardmap, is_usable, excluded)
+        if choice is None:
+            return None
+        replica_by_leaf: dict[str, Replica] = {}
+        for leafs in choice.usable_by_shard:
+            for leaf in leafs:
+                replica_by_leaf[leaf.leaf_id] = Replica(
+                    leaf.leaf_id,
+                    leaf.zone,
+                    row.weight_by_zone[leaf.zone],
+                    self._tracker.leaf(leaf.leaf_id),
+                )
+        return ServiceTopology(
+            row,
+            choice.version.version,
+            tuple(
+                tuple(replica_by_leaf[leaf.leaf_id] for leaf in leafs)
+                for leafs in choice.usable_by_shard
+            ),
+            choice.missing_shards,
+        )
+
+
+class OwnerMap:
+    """Owners of leafs under the current leases; caches the hashing."""
+
+    def __init__(self) -> None:
+        self._members_by_zone: dict[str, tuple[lease.Member, ...]] = {}
+        self._owner_by_leaf: dict[str, dict[str, lease.Member | None]] = {}
+
+    def owner_of(
+        self, view: views.View, leaf_id: str, zone: str
+    ) -> lease.Member | None:
+        """Returns the member that owns a leaf; None if it is not known."""
+        zone_lease = view.lease_by_zone.get(zone)
+        if zone_lease is None:
+            return None
+        members = self._members_by_zone.get(zone)
+        if members is not zone_lease.members:
+            if members != zone_lease.members:
+                self._owner_by_leaf[zone] = {}
+            self._members_by_zone[zone] = zone_lease.members
+        owners = self._owner_by_leaf[zone]
+        if leaf_id not in owners:
+            owners[leaf_id] = zone_lease.owner_of(leaf_id)
+        return owners[leaf_id]
+
+
+def unreachable_zones(
+    lease_by_zone: Mapping[str, lease.ZoneLease],
+    tracker: _leafs.LeafTracker,
+    now: datetime.timedelta,
+) -> frozenset[str]:
+    """Returns the zones of which all, or two and half, owners are unreachable.
+
+    Half is enough, because in a partition each owner costs a connect timeout
+    before it is known to be unreachable.
+    """
+    if not tracker.has_unreachable_owners():
+        return frozenset()
+    zones = set()
+    for zone, zone_lease in lease_by_zone.items():
+        avoided = sum(
+            tracker.is_owner_avoided(member.owner, now)
+            for member in zone_lease.members
+        )
+        members = len(zone_lease.members)
+        if avoided and (avoided == members or avoided >= max(2, members / 2)):
+            zones.add(zone)
+    return frozenset(zones)
+
+
+def _same(left: tuple[object, ...], right: tuple[object, ...]) -> bool:
+    """Compares by identity, except for numbers."""
+    return len(left) == len(right) and all(
+        a is b or (isinstance(a, int) and a == b)
+        for a, b in zip(left, right, strict=True)
+    )
