--- a/src/sassafrashold/entry/_responses.py
+++ b/src/sassafrashold/entry/_responses.py
@@ -20,6 +20,7 @@
     errors.ErrorCode.KEY_MISSING: 400,
     errors.ErrorCode.UNKNOWN_SERVICE: 404,
     errors.ErrorCode.UNKNOWN_METHOD: 404,
+    errors.ErrorCode.UNKNOWN_REQUEST: 404,
     errors.ErrorCode.KEY_REUSED: 409,
     errors.ErrorCode.BODY_TOO_LARGE: 413,
     errors.ErrorCode.OVERLOADED: 429,
@@ -104,6 +105,26 @@
     return _dump({"request_id": request_id, **error_document(error)}) + b"\n"
 
 
+def dispatched(result: bytes, replayed: bool, request_id: str) -> web.Response:
+    """Returns the response for a dispatch."""
+    return web.Response(
+        body=_dump(
+            {
+                "request_id": request_id,
+                "result": _parsed(result),
+                "replayed": replayed,
+            }
+        ),
+        content_type="application/json",
+        headers={REQUEST_ID_HEADER: request_id},
+    )
+
+
+def text(lines: Iterable[str]) -> web.Response:
+    """Returns a plain text response."""
+    return web.Response(text="".join(f"{line}\n" for line in lines))
+
+
 def document(value: Any, status: int = 200) -> web.Response:
     """Returns a JSON response."""
     return web.Response(
@@ -131,3 +152,11 @@
 
 def _dump(value: Any) -> bytes:
     return json.dumps(value, separators=(",", ":")).encode()
+
+
+def _parsed(result: bytes) -> Any:
+    """Returns a JSON result as a value, and any other as a text."""
+    try:
+        return json.loads(result)
+    except ValueError:
+        return result.decode(errors="replace")
--- a/src/sassafrashold/entry/_search_handler.py
+++ b/src/sassafrashold/entry/_search_handler.py
@@ -1,6 +1,7 @@
 """The search endpoint."""
 
 import asyncio
+from collections.abc import Iterable
 import contextlib
 import datetime
 import secrets
@@ -9,17 +10,27 @@
 from opentelemetry import trace
 from reactivex import subject
 
+from sassafrashold import admission
 from sassafrashold import clock as clock_lib
 from sassafrashold import errors
 from sassafrashold import search
 from sassafrashold import table as table_lib
 from sassafrashold import telemetry
 from sassafrashold import views
+from sassafrashold.entry import _bodies
 from sassafrashold.entry import _inputs
 from sassafrashold.entry import _recent
 from sassafrashold.entry import _responses
 from sassafrashold.telemetry import tracing
 
+_CONGESTED_OUTCOMES = frozenset(
+    {
+        errors.ErrorCode.OVERLOADED.value,
+        errors.ErrorCode.LEAF_SHED.value,
+        errors.ErrorCode.DEADLINE_TOO_SHORT.value,
+    }
+)
+_QUEUE_FACTOR = 2
 _NDJSON = "application/x-ndjson"
 
 
@@ -29,6 +40,7 @@
     def __init__(
         self,
         feed: views.Feed,
+        gate: admission.Gate,
         searcher: search.Searcher,
         clock: clock_lib.Clock,
         tracer: tracing.Tracer,
@@ -36,6 +48,7 @@
         recent: _recent.RecentRequests,
     ) -> None:
         self._feed = feed
+        self._gate = gate
         self._searcher = searcher
         self._clock = clock
         self._tracer = tracer
@@ -91,7 +104,7 @@
             )
         row = _inputs.service_row(table, record.service, table_lib.Kind.SEARCH)
         values = _inputs.search(
-            await read_body(request),
+            await _bodies.read(request),
             row,
             {other.priority_class for other in table.rows},
         )
@@ -108,11 +121,21 @@
             allow_partial=values.allow_partial,
             traceparent=traceparent,
         )
-        if values.stream:
-            return await self._stream(request, search_request, row, record)
-        answer = await self._searcher.search(
-            search_request, row, record.plans.append
-        )
+        async with self._gate.admit(
+            values.priority_class, row.service, search_request.deadline
+        ) as admitted:
+            record.admitted_ms = admitted.waited.total_seconds() * 1000
+            try:
+                if values.stream:
+                    return await self._stream(
+                        request, search_request, row, record
+                    )
+                answer = await self._searcher.search(
+                    search_request, row, record.plans.append
+                )
+            finally:
+                admitted.congested = is_congested(record.plans)
+                admitted.answered = bool(record.plans)
         self._count_coverage(answer)
         return _responses.answer(answer, record.request_id)
 
@@ -169,20 +192,24 @@
             )
 
 
-async def read_body(request: web.Request) -> bytes:
-    """Returns the body.
+def is_congested(plans: Iterable[search.PlanReport]) -> bool:
+    """Returns whether sub-queries waited longer than leafs worked.
 
-    Raises:
-        SassafrasError: BODY_TOO_LARGE.
+    Owners state both times in whole milliseconds, so a millisecond for each
+    sub-query is allowed on top.
     """
-    try:
-        return await request.read()
-    except web.HTTPRequestEntityTooLarge as error:
-        raise errors.SassafrasError(
-            errors.ErrorCode.BODY_TOO_LARGE,
-            f"the body has more than {_inputs.MAX_BODY_BYTES} bytes",
-            field="body",
-        ) from error
+    queue_ms = 0
+    leaf_ms = 0
+    answers = 0
+    for plan in plans:
+        for attempt in plan.attempts:
+            if attempt.outcome in _CONGESTED_OUTCOMES:
+                return True
+            if attempt.queue_ms is not None:
+                answers += 1
+                queue_ms += attempt.queue_ms
+                leaf_ms += attempt.leaf_ms or 0
+    return queue_ms > leaf_ms * _QUEUE_FACTOR + answers
 
 
 async def _write_lines(
--- /dev/null
+++ b/src/sassafrashold/entry/_sender.py
@@ -0,0 +1,214 @@
+"""Sends a claimed dispatch to one leaf, through the owner of the leaf."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import datetime
+import random
+from typing import Any
+from typing import Protocol
+
+from sassafrashold import clock as clock_lib
+from sassafrashold import errors
+from sassafrashold import rpc
+from sassafrashold import search
+from sassafrashold import table as table_lib
+from sassafrashold import wire
+
+
+class DispatchOutcome(Protocol):
+    """The result of a dispatch, as `dispatch.Outcome`."""
+
+    @property
+    def result(self) -> bytes:
+        """JSON of the leaf."""
+        ...
+
+    @property
+    def replayed(self) -> bool:
+        """Whether it is the recorded result of an earlier request."""
+        ...
+
+
+class DispatchRunner(Protocol):
+    """Runs a dispatch under a claim, as `dispatch.Dispatcher`."""
+
+    async def run(
+        self,
+        service: str,
+        key: str,
+        body: bytes,
+        deadline: datetime.datetime,
+        send: Callable[[str], Awaitable[bytes]],
+    ) -> DispatchOutcome:
+        """Claims the key, sends once, and records the outcome."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True)
+class DispatchCall:
+    """One checked dispatch."""
+
+    request_id: str
+    """Id that the caller sees."""
+
+    service: str
+    """Name of the service."""
+
+    key: str
+    """Idempotency key."""
+
+    body: bytes
+    """JSON for the leaf."""
+
+    deadline: datetime.datetime
+    """Wall time at which the caller stops waiting."""
+
+
+class Sender:
+    """Sends dispatches; never hedges, and repeats only what did not run."""
+
+    def __init__(
+        self,
+        searcher: search.Searcher,
+        pool: rpc.Pool,
+        clock: clock_lib.Clock,
+        random_source: random.Random | None = None,
+    ) -> None:
+        self._searcher = searcher
+        self._pool = pool
+        self._clock = clock
+        self._random = random_source or random.Random()
+
+    async def send(
+        self,
+        call: DispatchCall,
+        row: table_lib.ServiceRow,
+        claim_id: str,
+        log: list[dict[str, Any]],
+        traceparent: str,
+    ) -> bytes:
+        """Sends the call to a usable leaf of the newest version.
+
+        An owner or leaf that states "not run" because ownership moves, or
+        because the leaf takes no work, is followed by another try until the
+        deadline; other refusals cost a token of the extra-load budget.
+
+        Args:
+            call: The dispatch.
+            row: Row of its service.
+            claim_id: Id of the claim.
+            log: Gets an entry for each try.
+            traceparent: W3C trace context.
+
+        Raises:
+            SassafrasError: With `ran` as the last try states it.
+        """
+        self._searcher.budget(row).earn(1)
+        sent = 0
+        excluded: set[str] = set()
+        tried: set[str] = set()
+        while True:
+            replica = self._choose(call, row, excluded, tried)
+            tried.add(replica.leaf_id)
+            sent += 1
+            entry: dict[str, Any] = {"leaf": replica.leaf_id, "outcome": "OK"}
+            log.append(entry)
+            try:
+                return await self._call(call, replica, claim_id, traceparent)
+            except errors.SassafrasError as error:
+                entry["outcome"] = error.code.value
+                await self._before_repeat(
+                    call, row, error, replica, sent, excluded
+                )
+
+    def _choose(
+        self,
+        call: DispatchCall,
+        row: table_lib.ServiceRow,
+        excluded: set[str],
+        tried: set[str],
+    ) -> search.Replica:
+        replicas = self._searcher.dispatch_replicas(row)
+        replica = self._searcher.chooser(call.request_id).retry(
+            replicas, self._clock.monotonic(), excluded, tried
+        )
+        if replica is None:
+            raise errors.DispatchError(
+                errors.ErrorCode.UNAVAILABLE,
+                f"no leaf of {row.service!r} can take a dispatch",
+            )
+        return replica
+
+    async def _call(
+        self,
+        call: DispatchCall,
+        replica: search.Replica,
+        claim_id: str,
+        traceparent: str,
+    ) -> bytes:
+        owner = self._searcher.owner_of(replica)
+        if owner is None:
+            raise errors.DispatchError(
+                errors.ErrorCode.UNAVAILABLE,
+                f"no owner is known for leaf {replica.leaf_id}",
+            )
+        margin = search.margin_of(call.deadline - self._clock.now())
+        reply = await self._pool.get(owner).call(
+            "dispatch",
+            wire.encode(
+                wire.messages.DispatchRequest(
+                    request_id=call.request_id,
+                    service_name=call.service,
+                    idempotency_key=call.key,
+                    claim_id=claim_id,
+                    leaf=replica.leaf_id,
+                    body=call.body,
+                )
+            ),
+            deadline=call.deadline - margin,
+            traceparent=traceparent,
+        )
+        try:
+            result: bytes = wire.decode(
+                wire.messages.DispatchReply, reply
+            ).result
+        except wire.CodecError as error:
+            raise errors.DispatchError(
+                errors.ErrorCode.OUTCOME_UNKNOWN,
+                f"owner {owner} sent an unreadable reply",
+                ran=errors.Ran.OUTCOME_UNKNOWN,
+            ) from error
+        return result
+
+    async def _before_repeat(
+        self,
+        call: DispatchCall,
+        row: table_lib.ServiceRow,
+        error: errors.SassafrasError,
+        replica: search.Replica,
+        sent: int,
+        excluded: set[str],
+    ) -> None:
+        """Waits before another try, or raises the error again."""
+        if error.ran is not errors.Ran.NOT_RUN:
+            raise error
+        reaction = search.reaction_to(error)
+        now = self._clock.monotonic()
+        match reaction:
+            case search.Reaction.GIVE_UP:
+                raise error
+            case search.Reaction.EXCLUDE:
+                excluded.add(replica.leaf_id)
+                return
+            case search.Reaction.PAY:
+                if not self._searcher.budget(row).try_spend():
+                    raise error
+                self._searcher.tracker.leaf_failed(replica.leaf_id, now)
+            case search.Reaction.REPEAT:
+                self._searcher.tracker.leaf_failed(replica.leaf_id, now)
+        delay = search.retry_delay(sent - 1, self._random)
+        if self._clock.now() + delay >= call.deadline:
+            raise error
+        await asyncio.sleep(delay.total_seconds())
--- a/src/sassafrashold/entry/main.py
+++ b/src/sassafrashold/entry/main.py
@@ -1,17 +1,40 @@
 """The binary `sassafras-entry`."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import datetime
 
 from sassafrashold import clock
+from sassafrashold import errors
 from sassafrashold import process
 from sassafrashold.entry import _daemon
+from sassafrashold.entry import _sender
 from sassafrashold.entry import _settings
 
 
+class _NoDispatcher:
+    """Stands in until the dispatch package is there."""
+
+    async def run(
+        self,
+        service: str,
+        key: str,
+        body: bytes,
+        deadline: datetime.datetime,
+        send: Callable[[str], Awaitable[bytes]],
+    ) -> _sender.DispatchOutcome:
+        """Refuses each dispatch."""
+        raise errors.DispatchError(
+            errors.ErrorCode.STORE_UNAVAILABLE, "dispatches are not served yet"
+        )
+
+
 async def _run(
     values: _settings.EntrySettings, stopping: asyncio.Event
 ) -> None:
-    await _daemon.Daemon(values, clock.SystemClock()).run(stopping)
+    parts = _daemon.PlatformParts(_NoDispatcher(), {})
+    await _daemon.Daemon(values, clock.SystemClock(), parts).run(stopping)
 
 
 main = process.command("entry", _settings.EntrySettings, _run)
--- a/src/sassafrashold/entry/tests/entry_fakes.py
+++ b/src/sassafrashold/entry/tests/entry_fakes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import json
 from typing import Any
 
@@ -137,6 +138,19 @@
     )
 
 
+@dataclasses.dataclass(frozen=True)
+class FakeOutcome:
+    result: bytes
+    replayed: bool = False
+
+
+class FakeDispatcher:
+    """Sends at once, without any claim."""
+
+    async def run(self, service, key, body, deadline, send):
+        return FakeOutcome(await send(f"claim-{key}"))
+
+
 class Fixture:
     """A daemon with one fake owner for each zone."""
 
@@ -192,7 +206,8 @@
 async def running(table_row=None, shards=None, **changes):
     """Runs a daemon whose view is known."""
     owner_by_zone = {zone: FakeOwner() for zone in ZONES}
-    daemon = _daemon.Daemon(values_for(**changes), CLOCK)
+    parts = _daemon.PlatformParts(FakeDispatcher(), {})
+    daemon = _daemon.Daemon(values_for(**changes), CLOCK, parts)
     stopping = asyncio.Event()
     task = asyncio.create_task(daemon.run(stopping))
     while daemon.http_address is None:
--- a/src/sassafrashold/search/__init__.py
+++ b/src/sassafrashold/search/__init__.py
@@ -2,6 +2,8 @@
 
 from sassafrashold.search._budget import ExtraLoadBudget
 from sassafrashold.search._coverage import Coverage
+from sassafrashold.search._failures import Reaction
+from sassafrashold.search._failures import reaction_to
 from sassafrashold.search._leafs import LeafTracker
 from sassafrashold.search._plan import Attempt
 from sassafrashold.search._plan import AttemptKind
@@ -13,6 +15,7 @@
 from sassafrashold.search._request import SearchAnswer
 from sassafrashold.search._request import SearchRequest
 from sassafrashold.search._request import ShardRows
+from sassafrashold.search._retry import retry_delay
 from sassafrashold.search._searcher import Searcher
 from sassafrashold.search._searcher import margin_of
 from sassafrashold.search._topology import Replica
@@ -28,6 +31,7 @@
     "LeafTracker",
     "PlanReport",
     "QueryPlan",
+    "Reaction",
     "Replica",
     "ReplicaChooser",
     "SearchAnswer",
@@ -38,4 +42,6 @@
     "Step",
     "Topologies",
     "margin_of",
+    "reaction_to",
+    "retry_delay",
 ]
--- a/src/sassafrashold/search/_budget.py
+++ b/src/sassafrashold/search/_budget.py
@@ -19,7 +19,7 @@
         Args:
             percent: Extra calls per hundred primary sub-queries.
         """
-        self._percent = percent
+        self.percent = percent
         self._tokens = 0.0
         self._capacity = _MIN_BURST
         self.spent = 0
@@ -39,7 +39,7 @@
 
     def earn(self, primaries: int) -> None:
         """Adds the tokens of a query's primary sub-queries."""
-        gain = primaries * self._percent / 100
+        gain = primaries * self.percent / 100
         self._capacity = max(_MIN_BURST, gain * _BURST_QUERIES)
         self._tokens = min(self._tokens + gain, self._capacity)
 
--- a/src/sassafrashold/search/_leafs.py
+++ b/src/sassafrashold/search/_leafs.py
@@ -7,8 +7,7 @@
 import datetime
 import random
 
-from hdrh import histogram
-
+from sassafrashold import quantiles
 from sassafrashold import settings
 
 _ZERO = datetime.timedelta()
@@ -18,12 +17,6 @@
 HEDGE_DELAY_UNKNOWN = datetime.timedelta(milliseconds=20)
 
 _HEDGE_PERCENTILE = 95
-_HISTOGRAM_MAX_US = 60_000_000
-_HISTOGRAM_UNIT_US = 10
-_HISTOGRAM_DIGITS = 1
-_WINDOW = datetime.timedelta(seconds=5)
-_MIN_SAMPLES = 20
-_REFRESH_SAMPLES = 32
 
 _SAMPLE_WEIGHT = 0.1
 # A loser was cancelled at some time below its latency. Twice the time it had
@@ -84,15 +77,10 @@
     """What is known of one leaf."""
 
     __slots__ = (
-        "_current",
         "_estimate_us",
-        "_hedge_delay",
         "_is_probed",
         "_next_probe",
-        "_previous",
-        "_samples",
-        "_since_refresh",
-        "_window_end",
+        "_p95",
         "backoff",
         "busy_until",
         "in_flight",
@@ -105,12 +93,7 @@
         self._estimate_us = 0.0
         self._next_probe = _ZERO
         self._is_probed = False
-        self._hedge_delay: datetime.timedelta | None = None
-        self._current = _new_histogram()
-        self._previous = _new_histogram()
-        self._samples = 0
-        self._since_refresh = 0
-        self._window_end = _ZERO
+        self._p95 = quantiles.RecentQuantile(_HEDGE_PERCENTILE)
 
     @property
     def estimate_us(self) -> float:
@@ -127,9 +110,8 @@
 
     def hedge_delay(self, now: datetime.timedelta) -> datetime.timedelta | None:
         """Returns the leaf's p95; None without enough recent samples."""
-        if now >= self._window_end + _WINDOW:
-            return None
-        return self._hedge_delay
+        delay = self._p95.value(now)
+        return None if delay is None else max(delay, HEDGE_DELAY_MIN)
 
     def record(
         self, latency: datetime.timedelta, now: datetime.timedelta
@@ -137,20 +119,7 @@
         """Records the latency of an answered sub-query."""
         micros = latency / _MICROSECOND
         self._blend(micros, now)
-        if now >= self._window_end:
-            self._rotate(now)
-        self._current.record_value(
-            min(
-                max(int(micros / _HISTOGRAM_UNIT_US), 1),
-                _HISTOGRAM_MAX_US // _HISTOGRAM_UNIT_US,
-            )
-        )
-        self._samples += 1
-        self._since_refresh += 1
-        if self._since_refresh >= _REFRESH_SAMPLES or (
-            self._hedge_delay is None and self._samples >= _MIN_SAMPLES
-        ):
-            self._refresh()
+        self._p95.record(latency, now)
 
     def record_unfinished(
         self, elapsed: datetime.timedelta, now: datetime.timedelta
@@ -169,28 +138,6 @@
         self._estimate_us += weight * (micros - self._estimate_us)
         self._next_probe = now + _PROBE_INTERVAL
 
-    def _rotate(self, now: datetime.timedelta) -> None:
-        self._previous, self._current = self._current, self._previous
-        if now >= self._window_end + _WINDOW:
-            self._previous.reset()
-        self._current.reset()
-        self._samples = self._previous.get_total_count()
-        self._window_end = now + _WINDOW
-
-    def _refresh(self) -> None:
-        self._since_refresh = 0
-        if self._samples < _MIN_SAMPLES:
-            self._hedge_delay = None
-            return
-        units = max(
-            recorded.get_value_at_percentile(_HEDGE_PERCENTILE)
-            for recorded in (self._current, self._previous)
-            if recorded.get_total_count()
-        )
-        self._hedge_delay = max(
-            units * _HISTOGRAM_UNIT_US * _MICROSECOND, HEDGE_DELAY_MIN
-        )
-
 
 class LeafTracker:
     """The records of all leafs and owners that this process has talked to."""
@@ -290,9 +237,3 @@
 def is_slow(estimate_us: float, best_us: float) -> bool:
     """Returns whether a leaf is too slow next to the best replica."""
     return estimate_us > best_us * _SLOW_FACTOR + _SLOW_SLACK_US
-
-
-def _new_histogram() -> histogram.HdrHistogram:
-    return histogram.HdrHistogram(
-        1, _HISTOGRAM_MAX_US // _HISTOGRAM_UNIT_US, _HISTOGRAM_DIGITS
-    )
--- a/src/sassafrashold/search/_plan.py
+++ b/src/sassafrashold/search/_plan.py
@@ -14,11 +14,9 @@
 from sassafrashold.search import _failures
 from sassafrashold.search import _leafs
 from sassafrashold.search import _replicas
+from sassafrashold.search import _retry
 from sassafrashold.search import _topology
 
-_RETRY_BASE = datetime.timedelta(milliseconds=5)
-_RETRY_CEILING = datetime.timedelta(milliseconds=200)
-_RETRY_MAX_DOUBLINGS = 6
 _MAX_PAID_RETRIES = 5
 
 
@@ -473,11 +471,7 @@
         now: datetime.timedelta,
         timer: _Timer = _Timer.RETRY,
     ) -> None:
-        ceiling = min(
-            _RETRY_BASE * 2 ** min(earlier, _RETRY_MAX_DOUBLINGS),
-            _RETRY_CEILING,
-        )
-        due = now + ceiling * self._random.random()
+        due = now + _retry.retry_delay(earlier, self._random)
         self._schedule(due, shard, timer, None)
 
     def _schedule(
--- a/src/sassafrashold/search/_searcher.py
+++ b/src/sassafrashold/search/_searcher.py
@@ -74,9 +74,7 @@
         self.tracker = _leafs.LeafTracker(self._random)
         self._topologies = _topology.Topologies(self.tracker)
         self._owners = _topology.OwnerMap()
-        self._budget_by_service: dict[
-            str, tuple[float, _budget.ExtraLoadBudget]
-        ] = {}
+        self._budget_by_service: dict[str, _budget.ExtraLoadBudget] = {}
 
     def topology(
         self, row: table_lib.ServiceRow, excluded: frozenset[str] = frozenset()
@@ -96,6 +94,12 @@
             )
         return topology
 
+    def dispatch_replicas(
+        self, row: table_lib.ServiceRow
+    ) -> tuple[_topology.Replica, ...]:
+        """Returns the usable leafs of the newest version."""
+        return self._topologies.dispatch_replicas(self._view(), row)
+
     def owner_of(self, replica: _topology.Replica) -> settings.Address | None:
         """Returns the address of the owner of a leaf, if it is known."""
         member = self._owners.owner_of(
@@ -116,6 +120,23 @@
             ),
         )
 
+    def budget(self, row: table_lib.ServiceRow) -> _budget.ExtraLoadBudget:
+        """Returns the extra-load budget of a service."""
+        known = self._budget_by_service.get(row.service)
+        if known is None:
+            known = _budget.ExtraLoadBudget(row.hedge_percent)
+        elif known.percent != row.hedge_percent:
+            known = known.with_percent(row.hedge_percent)
+        self._budget_by_service[row.service] = known
+        return known
+
+    def tokens_by_service(self) -> dict[str, float]:
+        """Returns the extra calls that each service may make now."""
+        return {
+            service: round(budget.tokens, 2)
+            for service, budget in self._budget_by_service.items()
+        }
+
     async def search(
         self,
         request: _request.SearchRequest,
@@ -194,21 +215,6 @@
                 ran=(errors.Ran.OUTCOME_UNKNOWN if ran else errors.Ran.NOT_RUN),
             )
 
-    def _budget(self, row: table_lib.ServiceRow) -> _budget.ExtraLoadBudget:
-        known = self._budget_by_service.get(row.service)
-        if known is None:
-            known = (
-                row.hedge_percent,
-                _budget.ExtraLoadBudget(row.hedge_percent),
-            )
-        elif known[0] != row.hedge_percent:
-            known = (
-                row.hedge_percent,
-                known[1].with_percent(row.hedge_percent),
-            )
-        self._budget_by_service[row.service] = known
-        return known[1]
-
     def _address(
         self, replica: _topology.Replica, request_id: str
     ) -> settings.Address | None:
@@ -248,7 +254,7 @@
             topology,
             chooser,
             searcher.tracker,
-            searcher._budget(topology.row),
+            searcher.budget(topology.row),
             searcher._random,
             clock.monotonic() + left - margin,
             searcher._hedging,
--- a/src/sassafrashold/search/_topology.py
+++ b/src/sassafrashold/search/_topology.py
@@ -104,13 +104,9 @@
         excluded: frozenset[str],
     ) -> ServiceTopology | None:
         def is_usable(leaf: index.Leaf, version: str) -> bool:
-            return (
-                row.weight_by_zone.get(leaf.zone, 0) > 0
-                and not view.is_out(leaf)
-                and not self._tracker.is_version_gone(
-                    leaf.leaf_id, version, now
-                )
-            )
+            return _takes_work(
+                view, row, leaf
+            ) and not self._tracker.is_version_gone(leaf.leaf_id, version, now)
 
         choice = index.choose_version(shardmap, is_usable, excluded)
         if choice is None:
@@ -118,12 +114,7 @@
         replica_by_leaf: dict[str, Replica] = {}
         for leafs in choice.usable_by_shard:
             for leaf in leafs:
-                replica_by_leaf[leaf.leaf_id] = Replica(
-                    leaf.leaf_id,
-                    leaf.zone,
-                    row.weight_by_zone[leaf.zone],
-                    self._tracker.leaf(leaf.leaf_id),
-                )
+                replica_by_leaf[leaf.leaf_id] = self._replica(row, leaf)
         return ServiceTopology(
             row,
             choice.version.version,
@@ -134,6 +125,33 @@
             choice.missing_shards,
         )
 
+    def dispatch_replicas(
+        self, view: views.View, row: table_lib.ServiceRow
+    ) -> tuple[Replica, ...]:
+        """Returns the usable leafs of the newest version of a service."""
+        shardmap = view.shardmap_by_service.get(row.service)
+        if shardmap is None or not shardmap.versions:
+            return ()
+        leaf_ids = dict.fromkeys(
+            leaf_id
+            for replicas in shardmap.versions[0].replicas
+            for leaf_id in replicas
+        )
+        leafs = [shardmap.leaf_by_id[leaf_id] for leaf_id in leaf_ids]
+        return tuple(
+            self._replica(row, leaf)
+            for leaf in leafs
+            if _takes_work(view, row, leaf)
+        )
+
+    def _replica(self, row: table_lib.ServiceRow, leaf: index.Leaf) -> Replica:
+        return Replica(
+            leaf.leaf_id,
+            leaf.zone,
+            row.weight_by_zone[leaf.zone],
+            self._tracker.leaf(leaf.leaf_id),
+        )
+
 
 class OwnerMap:
     """Owners of leafs under the current leases; caches the hashing."""
@@ -184,6 +202,13 @@
     return frozenset(zones)
 
 
+def _takes_work(
+    view: views.View, row: table_lib.ServiceRow, leaf: index.Leaf
+) -> bool:
+    """Returns whether a leaf may get new work; a weight of 0 means none."""
+    return row.weight_by_zone.get(leaf.zone, 0) > 0 and not view.is_out(leaf)
+
+
 def _same(left: tuple[object, ...], right: tuple[object, ...]) -> bool:
     """Compares by identity, except for numbers."""
     return len(left) == len(right) and all(
