--- a/src/sassafrashold/standins/deployment.py
+++ b/src/sassafrashold/standins/deployment.py
@@ -179,6 +179,11 @@
         )
 
 
+def placed(deployment: Deployment, network: int) -> Deployment:
+    """Returns the deployment in another loopback network."""
+    return dataclasses.replace(deployment, network=network)
+
+
 def table_csv(table: table_lib.Table) -> str:
     """Returns the rows of a table as CSV with a header."""
     rows = [row.cells() for row in table.rows]
