Free the slot of a leaf call that is cancelled before it starts

Change: the end of the task releases the slot; the record keeps what ran when a call came without a slot; leaf connections write no access log.

--- a/src/sassafrashold/standins/_leaf.py
+++ b/src/sassafrashold/standins/_leaf.py
@@ -18,6 +18,7 @@
 from sassafrashold.standins import _profile
 
 _RETRY_AFTER_MS = 50
+_MAX_OVER_LIMIT_EVENTS = 100
 
 
 class Outcome(enum.Enum):
@@ -166,6 +167,10 @@
             maxlen=record_limit
         )
         self._counters: collections.Counter[str] = collections.Counter()
+        self._running_calls: dict[int, Call] = {}
+        self._over_limit: collections.deque[dict[str, Any]] = collections.deque(
+            maxlen=_MAX_OVER_LIMIT_EVENTS
+        )
         if not profile.cold_at_start:
             self.warm_up()
 
@@ -217,11 +222,24 @@
             return refusal
         if self.running >= self.profile.slots:
             self.count("over_limit_calls")
+            self._note_over_limit(request)
             if self.profile.overload == "shed":
                 self.count("refused_SHED")
                 return Refusal(503, "SHED", _RETRY_AFTER_MS)
         return None
 
+    def _note_over_limit(self, request: Request) -> None:
+        """Keeps what ran when a call came that had no slot."""
+        self._over_limit.append(
+            {
+                "request_id": request.request_id,
+                "at_ms": round(self.now_ms, 3),
+                "running": [
+                    call.record() for call in self._running_calls.values()
+                ],
+            }
+        )
+
     def _refusal(self, request: Request) -> Refusal | None:
         if self.expired(request):
             return Refusal(504, "EXPIRED")
@@ -241,6 +259,7 @@
         bound = self.bound
         call = Call(request, self.now_ms, self.running, bound, self.generation)
         self._calls.append(call)
+        self._running_calls[id(call)] = call
         self.count("calls")
         self.count(f"{request.kind}_calls")
         self.count("items", len(request.shards))
@@ -303,6 +322,7 @@
     def finish(self, call: Call, outcome: Outcome) -> None:
         """Records the end of a call and frees its slot."""
         self.running -= 1
+        del self._running_calls[id(call)]
         call.outcome = outcome
         call.end_ms = self.now_ms
         self.count(f"ended_{outcome.value}")
@@ -360,11 +380,13 @@
         }
         if with_calls:
             record["calls"] = [call.record() for call in self._calls]
+            record["over_limit"] = list(self._over_limit)
         return record
 
     def reset_record(self) -> None:
         """Forgets counters and calls; the state stays."""
         self._calls.clear()
+        self._over_limit.clear()
         self._counters.clear()
 
     def _chance(self, percent: float) -> bool:
--- a/src/sassafrashold/standins/_leaf_server.py
+++ b/src/sassafrashold/standins/_leaf_server.py
@@ -31,7 +31,9 @@
     """Closes connections beyond the limit and dates new ones."""
 
     def __init__(self, leaf: _leaf.Leaf, handler: Any) -> None:
-        super().__init__(handler, keepalive_timeout=_KEEPALIVE_S)
+        super().__init__(
+            handler, keepalive_timeout=_KEEPALIVE_S, access_log=None
+        )
         self._leaf = leaf
         self.ready_ms_by_connection: dict[Any, float] = {}
 
@@ -142,6 +144,9 @@
         # The work has its own task, so that a cancellation ends the work and
         # not the connection that carries the answer.
         work = asyncio.create_task(self._work(parsed, document, call))
+        if call is not None:
+            # A task that is cancelled before its first step runs no code.
+            work.add_done_callback(lambda _: self._release(call))
         tasks = self._tasks_by_request[parsed.request_id]
         tasks.add(work)
         try:
@@ -192,6 +197,12 @@
                 return None
         return _json(500, {"error": "FAILED"})
 
+    def _release(self, call: _leaf.Call) -> None:
+        """Frees the slot of a call that has not ended by itself."""
+        if call.end_ms is None:
+            self.leaf.finish(call, _leaf.Outcome.CANCELLED)
+            self._wake_next()
+
     async def _run(self, call: _leaf.Call) -> _leaf.Outcome:
         """Spends the service time of a call, at most up to its deadline."""
         remaining = self.leaf.remaining(call.request).total_seconds()
--- a/src/sassafrashold/standins/tests/test_leaf_keeps_its_bounds_and_record.py
+++ b/src/sassafrashold/standins/tests/test_leaf_keeps_its_bounds_and_record.py
@@ -172,6 +172,27 @@
     assert (await call)[0] == 499
 
 
+async def test_cancel_before_the_first_step_frees_the_slot(served):
+    start, session = served
+    server, url = await start(service_ms=5000)
+    cancel = session.delete(url + "/v1/requests/r-1")
+    original = server.leaf.start
+
+    def start_and_cancel(request):
+        call = original(request)
+        loop = asyncio.get_running_loop()
+        loop.call_soon(
+            lambda: [t.cancel() for t in server._tasks_by_request["r-1"]]
+        )
+        return call
+
+    server.leaf.start = start_and_cancel
+    assert (await _post(session, url, _query("r-1")))[0] == 499
+    async with cancel as response:
+        assert await response.json() == {"cancelled": 0}
+    assert server.leaf.running == 0
+
+
 async def test_work_ends_at_the_deadline(served):
     start, session = served
     server, url = await start(service_ms=5000)
