Judge the lease rules by what really happened

- A conflict after an ambiguous proposal was taken as its end, although the first attempt may be what it conflicts with.
The host then promised for an epoch that its own proposal had ended.
- Freshness hints from requests were passed on as proof, so an old incarnation could replace a newer one and release it.
- A host outside the epoch could propose on a host list older than a renewal.

--- a/src/sassafrashold/control/_digest.py
+++ b/src/sassafrashold/control/_digest.py
@@ -41,7 +41,9 @@
     """
     message = _message(node)
     if members:
-        _add_known(node, message, membership.Members.entries(node.members))
+        message.known_members = [
+            entry.description.digest for entry in node.members.entries()
+        ]
     message.objects = [
         wire.messages.ObjectVersion(key=key, version=node.objects.version(key))
         for key in changed_keys
@@ -76,15 +78,15 @@
     _add_renewal(node, message)
     if asked.zone == node.settings.zone:
         known = frozenset(asked.known_members or ())
-        entries = node.members.entries()
-        compact = [e for e in entries if _is_compact(node, e, known)]
+        compact = []
+        for entry in node.members.entries():
+            if entry.proven is None or entry is node.members.own:
+                continue
+            if _is_compact(node, entry, known):
+                compact.append(entry)
+            else:
+                message.members.append(_to_wire(entry, node.now()))
         _add_known(node, message, compact)
-        own = node.settings.host
-        message.members += [
-            _to_wire(entry, node.now())
-            for entry in entries
-            if entry not in compact and entry.description.host != own
-        ]
     message.objects_digest = node.objects.digest()
     if asked.objects_digest != message.objects_digest:
         message.objects = [
@@ -111,7 +113,7 @@
         return
     reports = [
         *(_from_wire(member) for member in message.members),
-        *_known(node, message, message.epoch),
+        *_known(node, message),
     ]
     if message.renewal_age_ms is not None:
         age = _entitlement.age_from_wire(message.renewal_age_ms)
@@ -129,30 +131,21 @@
     node.members.merge(entries)
 
 
-def merge_request(node: _node.Node, message: Any) -> None:
-    """Takes over the hints of a request; see `Entry.from_request`.
+def merge_request(node: _node.Node, message: Any) -> settings.Address | None:
+    """Takes over what the sender of a request says about itself.
+
+    Returns:
+        The control address of the sender; None if it is not stated.
 
     Raises:
         DigestError: The message is invalid; nothing was taken over.
     """
-    if message.zone != node.settings.zone:
-        return
     now = node.now()
-    # The compact form states the released epoch only in answers.
-    reports = [
-        *(_from_wire(member) for member in message.members),
-        *_known(node, message, 0),
-    ]
-    node.members.merge(
-        membership.Entry.from_request(report, now) for report in reports
-    )
-
-
-def sender_control(message: Any) -> settings.Address | None:
-    """Returns the control address of the sender, if it is stated."""
     for member in message.members:
+        report = _from_wire(member)
         if member.host == message.sender:
-            return _from_wire(member).description.control
+            node.members.merge([membership.Entry.from_request(report, now)])
+            return report.description.control
     return None
 
 
@@ -182,7 +175,7 @@
     digests, freshness_ages, promise_ages = [], [], []
     for entry in entries:
         digests.append(entry.description.digest)
-        freshness_ages.append(_age_ms(now - entry.heard))
+        freshness_ages.append(_freshness_ms(entry, now))
         promise = entry.promise
         if promise is None or promise.epoch != message.epoch:
             promise_ages.append(_NO_PROMISE)
@@ -200,17 +193,14 @@
     epoch = node.lease.epoch
     digest = entry.description.digest
     return (
-        entry.description.host != node.settings.host
-        and digest in known
+        digest in known
         and node.members.description(digest) == entry.description
         and entry.released_epoch == epoch
         and (entry.promise is None or entry.promise.epoch <= epoch)
     )
 
 
-def _known(
-    node: _node.Node, message: Any, released_epoch: int
-) -> list[membership.Report]:
+def _known(node: _node.Node, message: Any) -> list[membership.Report]:
     """Returns the compact members whose hash is known here."""
     digests = message.known_members or []
     freshness_ages = message.freshness_ages_ms or []
@@ -232,7 +222,7 @@
                 if promise_ms == _NO_PROMISE
                 else _entitlement.age_from_wire(promise_ms),
                 message.epoch,
-                released_epoch,
+                message.epoch,
             )
         )
     return reports
@@ -249,7 +239,7 @@
         control=str(description.control),
         owner=str(description.owner),
         entry=str(description.entry),
-        freshness_age_ms=_age_ms(now - entry.heard),
+        freshness_age_ms=_freshness_ms(entry, now),
         promise_age_ms=None if promise is None else _age_ms(now - promise.made),
         promise_epoch=0 if promise is None else promise.epoch,
         released_epoch=entry.released_epoch,
@@ -280,5 +270,10 @@
     )
 
 
+def _freshness_ms(entry: membership.Entry, now: datetime.timedelta) -> int:
+    proven = entry.heard if entry.proven is None else entry.proven
+    return _age_ms(now - proven)
+
+
 def _age_ms(age: datetime.timedelta) -> int:
     return min(_MAX_AGE_MS, _entitlement.ceil_ms(age))
--- a/src/sassafrashold/control/_handlers.py
+++ b/src/sassafrashold/control/_handlers.py
@@ -9,6 +9,7 @@
 from sassafrashold import documents
 from sassafrashold import errors
 from sassafrashold import rpc
+from sassafrashold import settings
 from sassafrashold import wire
 from sassafrashold.control import _digest
 from sassafrashold.control import _entitlement
@@ -82,8 +83,7 @@
         """Answers an exchange."""
         request = _decode(wire.messages.GossipMessage, body)
         try:
-            _digest.merge_request(self.node, request)
-            peer = _digest.sender_control(request)
+            peer = _digest.merge_request(self.node, request)
         except _digest.DigestError as error:
             raise _bad_request(str(error)) from error
         answer = wire.encode(_digest.answer(self.node, request))
@@ -91,8 +91,8 @@
         traffic.answered += 1
         traffic.received_bytes += len(body)
         traffic.sent_bytes += len(answer)
-        if peer is not None and request.objects:
-            self.peers.start(self.peers.fetch_newer(peer, request))
+        if peer is not None:
+            self._ask_back(peer, request)
         return answer
 
     async def fetch(self, context: rpc.RequestContext, body: bytes) -> bytes:
@@ -120,6 +120,14 @@
             wire.messages.StatusReply(value=documents.dump(facts))
         )
 
+    def _ask_back(self, peer: settings.Address, request: Any) -> None:
+        """Asks the sender for what only its answer can prove."""
+        sender = self.node.members.get(request.sender)
+        if sender is not None and sender.proven is None:
+            self.peers.start(self.peers.exchange(peer))
+        elif request.objects:
+            self.peers.start(self.peers.fetch_newer(peer, request))
+
     def _hello(self) -> bytes:
         values = self.node.settings
         return wire.encode(
--- a/src/sassafrashold/control/tests/test_three_controls_share_a_zone.py
+++ b/src/sassafrashold/control/tests/test_three_controls_share_a_zone.py
@@ -2,7 +2,7 @@
 import contextlib
 
 from sassafrashold import lease
-from sassafrashold import table
+from sassafrashold import settings
 from sassafrashold.control.tests import fakes
 
 _KEY = lease.lease_key("luzon-a")
@@ -13,7 +13,7 @@
     store = fakes.FakeStore()
     store.hosts = dict.fromkeys(names, "luzon-a")
     hosts = {}
-    seeds = []
+    seeds: list[settings.Address] = []
     try:
         for name in names:
             host = fakes.Host(name, "luzon-a", store, seeds)
@@ -36,6 +36,6 @@
 
 
 async def test_started_together_they_are_in_one_epoch_with_evidence():
-    async with _zone() as (store, hosts):
+    async with _zone() as (_, hosts):
         await fakes.eventually(lambda: _members_everywhere(hosts, "abc"))
         assert len({host.reply.epoch for host in hosts.values()}) == 1
--- a/src/sassafrashold/lease/_proposal.py
+++ b/src/sassafrashold/lease/_proposal.py
@@ -49,8 +49,10 @@
     """Returns the change that a host outside the epoch may propose.
 
     It may do so only when the platform's list names no member any more. The
-    list must have been read by this host after it learned of the epoch, and
-    must name this host, since one that does not is evidently out of date.
+    list must have been read after this host learned of the version that the
+    update is conditional on: a member that comes back later can then get
+    evidence only by a renewal, and one of the two updates fails. The list must
+    name this host, since one that does not is evidently out of date.
     """
     own = situation.members.own
     hosts = situation.hosts
@@ -59,7 +61,7 @@
         or own.description.state is not membership.State.SERVING
         or own.description.host in situation.lease.member_by_host
         or hosts.read is None
-        or hosts.read <= situation.learned
+        or hosts.read <= situation.version_learned
         or not hosts.names(own.description.host)
         or any(hosts.names(m.host) for m in situation.lease.members)
     ):
--- a/src/sassafrashold/lease/_release.py
+++ b/src/sassafrashold/lease/_release.py
@@ -19,6 +19,9 @@
     learned: datetime.timedelta
     """When this host learned of the epoch; after its commit."""
 
+    version_learned: datetime.timedelta
+    """When this host learned of the newest version; after its commit."""
+
     members: membership.Members
     """The hosts of the zone."""
 
--- a/src/sassafrashold/lease/_state.py
+++ b/src/sassafrashold/lease/_state.py
@@ -93,6 +93,7 @@
         self._lease: _document.ZoneLease | None = None
         self._version = 0
         self._learned = start
+        self._version_learned = start
         self._renewals = _evidence.Renewals()
         self._last_promise: membership.Promise | None = None
         self._predecessor: membership.Promise | None = None
@@ -164,6 +165,7 @@
             self._abandon_change()
         self._lease = lease
         self._version = version
+        self._version_learned = now
         if (
             self._unresolved is not None
             and version > self._unresolved.expected_version
@@ -201,7 +203,12 @@
         if self._lease is None:
             return None
         return _release.Situation(
-            self._lease, self._learned, self._members, self._hosts, now
+            self._lease,
+            self._learned,
+            self._version_learned,
+            self._members,
+            self._hosts,
+            now,
         )
 
     def promise(self, now: datetime.timedelta) -> membership.Promise | None:
@@ -295,8 +302,8 @@
         if write is self._unresolved:
             # The first attempt may be the one that took effect.
             sent = self._unresolved_sent
-        if outcome is not Outcome.NOT_RUN:
-            self._settle(write, outcome, sent)
+        if outcome in (Outcome.UNKNOWN, Outcome.CONFLICT):
+            self._keep_open(write, sent)
         if outcome is Outcome.APPLIED:
             self.store_reached(now)
             self.record_renewal(write.lease.epoch, sent)
@@ -309,15 +316,18 @@
             self._propose_from = now + _PROPOSAL_BACKOFF
             self._abandon_change()
 
-    def _settle(
-        self, write: Write, outcome: Outcome, sent: datetime.timedelta
-    ) -> None:
-        if write.kind is not WriteKind.PROPOSE:
-            return
-        # An earlier attempt of the same proposal may still take effect after
-        # an attempt that was not run, so NOT_RUN never gets here.
-        self._unresolved = write if outcome is Outcome.UNKNOWN else None
-        self._unresolved_sent = sent
+    def _keep_open(self, write: Write, sent: datetime.timedelta) -> None:
+        """Remembers a proposal until a later version of the lease is known.
+
+        A conflict ends it no more than a lost answer does: an earlier attempt
+        of the same proposal may be what it conflicts with.
+        """
+        if (
+            write.kind is WriteKind.PROPOSE
+            and write.expected_version >= self._version
+        ):
+            self._unresolved = write
+            self._unresolved_sent = sent
 
     def _may_promise(self) -> bool:
         lease = self._lease
@@ -339,22 +349,36 @@
         """Returns whether no proposal of a previous process can take effect.
 
         That holds once the lease was updated after the start of this process,
-        because the proposal was conditional on an earlier version. It also
-        holds if the previous process had promised within L before the start:
-        it had no open proposal then, and had to wait L before the next one.
+        because the proposal was conditional on an earlier version.
         """
         if not self._settled:
             renewed = self.renewal_time()
-            previous = self._predecessor
             self._settled = (
                 renewed is not None and renewed >= self._start
-            ) or (
-                previous is not None
-                and previous.epoch == self.epoch
-                and previous.made > self._start - _evidence.LEASE_TIME
-            )
+            ) or self._has_predecessor()
         return self._settled
 
+    def _has_predecessor(self) -> bool:
+        """Returns whether this process continues the promises of another.
+
+        A previous process that had promised within L before the start had no
+        open proposal then and had to wait L before the next one. The owner
+        process must be the one that the epoch names: it shows that the host
+        has run ever since, so that no host outside the epoch can have found
+        it missing in the platform's list.
+        """
+        previous = self._predecessor
+        own = self._members.own
+        if previous is None or own is None or self._lease is None:
+            return False
+        member = self._lease.member_by_host.get(self._members.host)
+        return (
+            member is not None
+            and member.incarnation == own.description.incarnation
+            and previous.epoch == self.epoch
+            and previous.made > self._start - _evidence.LEASE_TIME
+        )
+
     def _next_renewal(self, now: datetime.timedelta) -> Write | None:
         lease = self._lease
         situation = self.situation(now)
--- a/src/sassafrashold/membership/_entries.py
+++ b/src/sassafrashold/membership/_entries.py
@@ -82,7 +82,7 @@
     """What the host says about itself."""
 
     freshness_age: datetime.timedelta
-    """Time since the host itself was last heard."""
+    """Time since the host certainly gave this description."""
 
     promise_age: datetime.timedelta | None
     """Time since its last known promise."""
@@ -102,7 +102,7 @@
     """What the host says about itself."""
 
     heard: datetime.timedelta
-    """About when the host was last heard; a hint for failure detection."""
+    """About when the host was last heard; a hint that is not passed on."""
 
     proven: datetime.timedelta | None
     """A time at which, or after which, the host gave this description."""
@@ -150,20 +150,21 @@
     def from_request(
         cls, report: Report, received: datetime.timedelta
     ) -> "Entry":
-        """Converts a line of an incoming request.
+        """Converts what the sender of a request says about itself.
 
         Nothing bounds how long a request was under way, so `received - age`
-        may be after the event. The result is only a hint about liveness and
-        description: promises and renewals in requests are ignored, and the
-        sender's peers learn them from answers.
+        may be after the event. The entry is only a hint about liveness and
+        description and is never passed on, because each hop would add its
+        delay. Promises and renewals in requests are not used at all; they
+        count only in the direction of answers.
 
         Args:
-            report: The line.
+            report: The sender's own line.
             received: When the request arrived.
         """
         return cls(
             report.description,
-            received - report.freshness_age,
+            received,
             None,
             None,
             report.released_epoch,
--- a/src/sassafrashold/wire/gen/ttypes.py
+++ b/src/sassafrashold/wire/gen/ttypes.py
@@ -2043,10 +2043,10 @@
      - objects
      - epoch
      - renewal_age_ms
-     - known_members: Compact form of members whose description the receiver is likely to know:
-    hash of the description, and at the same position the freshness age and
-    the age of the promise for `epoch` (-1 without one). In an answer their
-    released epoch is `epoch`.
+     - known_members: In a request, hashes of all descriptions that the sender knows. In an
+    answer, the members among them that need no full entry; at the same
+    position stand the freshness age and the age of the promise for `epoch`
+    (-1 without one), and their released epoch is `epoch`.
      - freshness_ages_ms
      - promise_ages_ms
      - objects_digest: Hash of all keys and versions; `objects` is empty when it is equal.
--- a/src/sassafrashold/wire/idl/sassafras.thrift
+++ b/src/sassafrashold/wire/idl/sassafras.thrift
@@ -166,10 +166,10 @@
   5: required i64 epoch;
   6: optional i64 renewal_age_ms;
   /**
-   * Compact form of members whose description the receiver is likely to know:
-   * hash of the description, and at the same position the freshness age and
-   * the age of the promise for `epoch` (-1 without one). In an answer their
-   * released epoch is `epoch`.
+   * In a request, hashes of all descriptions that the sender knows. In an
+   * answer, the members among them that need no full entry; at the same
+   * position stand the freshness age and the age of the promise for `epoch`
+   * (-1 without one), and their released epoch is `epoch`.
    */
   7: optional list<i32> known_members;
   8: optional list<i32> freshness_ages_ms;
