--- a/src/sassafrashold/control/tests/fakes.py
+++ b/src/sassafrashold/control/tests/fakes.py
@@ -110,7 +110,6 @@
             seeds=tuple(seeds),
             gossip_interval_ms=100,
         )
-        self.address = None
         self._tasks = []
 
     async def start(self):
