--- a/src/sassafrashold/entry/_http.py
+++ b/src/sassafrashold/entry/_http.py
@@ -96,7 +96,9 @@
         try:
             return await handler(request)
         except web.HTTPException as error:
-            return _responses.refusal(_of_http(request, error), "")
+            return _responses.refusal(
+                _of_http(request, error), "", error.status
+            )
         except (asyncio.CancelledError, ConnectionError):
             self._metrics.count("entry.callers_left")
             raise
--- a/src/sassafrashold/entry/_responses.py
+++ b/src/sassafrashold/entry/_responses.py
@@ -48,14 +48,22 @@
 }
 
 
-def refusal(error: errors.SassafrasError, request_id: str) -> web.Response:
-    """Returns the response for an error."""
+def refusal(
+    error: errors.SassafrasError, request_id: str, status: int | None = None
+) -> web.Response:
+    """Returns the response for an error.
+
+    Args:
+        error: The error.
+        request_id: Id that the caller sees.
+        status: HTTP status; by default that of the code.
+    """
     headers = {REQUEST_ID_HEADER: request_id}
     if error.retry_after is not None:
         seconds = math.ceil(error.retry_after.total_seconds())
         headers["Retry-After"] = str(seconds)
     return web.Response(
-        status=_STATUS_BY_CODE.get(error.code, _INTERNAL_STATUS),
+        status=status or _STATUS_BY_CODE.get(error.code, _INTERNAL_STATUS),
         body=_dump({"request_id": request_id, **error_document(error)}),
         content_type="application/json",
         headers=headers,
--- a/src/sassafrashold/entry/tests/entry_fakes.py
+++ b/src/sassafrashold/entry/tests/entry_fakes.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import datetime
 import json
 from typing import Any
 
@@ -237,3 +238,15 @@
             await asyncio.wait_for(task, 10)
             for owner in owner_by_zone.values():
                 await owner.server.close()
+
+
+def seconds(number):
+    """Returns a duration."""
+    return datetime.timedelta(seconds=number)
+
+
+async def until(condition):
+    """Waits until a condition of another task holds."""
+    async with asyncio.timeout(5):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.002)
