--- /dev/null
+++ b/src/sassafrashold/admission/tests/test_floors_and_deadlines.py
@@ -0,0 +1,179 @@
+import datetime
+
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies
+import pytest
+
+from sassafrashold import admission
+from sassafrashold import errors
+
+_MS = datetime.timedelta(milliseconds=1)
+_CLASSES = (
+    admission.ClassPolicy("lookup", 10, 60, 50),
+    admission.ClassPolicy("normal", 3, 0, 50),
+    admission.ClassPolicy("archive", 1, 10, 50),
+)
+
+
+class World:
+    """An admission queue with requests of a fixed service time."""
+
+    def __init__(self, policies=_CLASSES, limit=8):
+        self.queue = admission.AdmissionQueue(policies)
+        self.queue.entry_limit = admission.ConcurrencyLimit(limit, 1, limit)
+        self.now = 1000 * _MS
+        self.running = {}
+        self.started = []
+        self.refused = []
+
+    def offer(self, name, deadline_ms=1000, service="s"):
+        ticket = admission.Ticket(
+            name, service, self.now + deadline_ms * _MS, self.now
+        )
+        self.queue.offer(ticket, self.now)
+        return ticket
+
+    def decide(self):
+        for decision in self.queue.decide(self.now):
+            match decision:
+                case admission.Start(ticket):
+                    self.running[ticket] = self.now
+                    self.started.append(ticket)
+                case admission.Refuse(ticket, _):
+                    self.refused.append(ticket)
+
+    def finish(self, ticket):
+        del self.running[ticket]
+        self.queue.finish(ticket, self.now, False, True)
+
+    def count(self, name):
+        return sum(t.priority_class == name for t in self.running)
+
+
+@hypothesis_settings(max_examples=300, deadline=None)
+@given(
+    steps=strategies.lists(
+        strategies.one_of(
+            strategies.tuples(
+                strategies.sampled_from(["lookup", "normal", "archive"]),
+                strategies.integers(1, 500),
+            ),
+            strategies.integers(0, 30),
+        ),
+        max_size=120,
+    ),
+    limit=strategies.integers(1, 12),
+)
+def test_floors_limits_and_queue_bounds_hold(steps, limit):
+    world = World(limit=limit)
+    waiting = []
+    for step in steps:
+        if isinstance(step, int):
+            world.now += step * _MS
+            if world.running:
+                world.finish(sorted(world.running, key=lambda t: t.arrived)[0])
+        else:
+            try:
+                waiting.append(world.offer(*step))
+            except errors.AdmissionError as error:
+                assert error.ran is errors.Ran.NOT_RUN
+        before = len(world.started)
+        free = limit - len(world.running)
+        world.decide()
+        waiting = [
+            t
+            for t in waiting
+            if t not in world.started and t not in world.refused
+        ]
+        assert len(world.running) <= limit
+        assert len(world.started) - before <= max(free, 0)
+        for policy in _CLASSES:
+            name = policy.name
+            queued = [t for t in waiting if t.priority_class == name]
+            assert len(queued) <= policy.queue_limit
+            assert world.queue.waiting_by_class()[name] == len(queued)
+            # Work conserving: nothing waits beside a free place.
+            assert not queued or len(world.running) == limit
+            # Below its floor a class waits only if all other places were
+            # taken before, so no class above its floor was started now.
+            if queued and world.count(name) + 1 <= world.queue.floor_of(
+                name, limit
+            ):
+                for ticket in world.started[before:]:
+                    other = ticket.priority_class
+                    floor = world.queue.floor_of(other, limit)
+                    assert world.count(other) < floor + 1
+
+
+def test_a_free_place_follows_the_shares_between_backlogged_classes():
+    policies = (
+        admission.ClassPolicy("big", 3, 0, 1000),
+        admission.ClassPolicy("small", 1, 0, 1000),
+    )
+    world = World(policies, limit=1)
+    for _ in range(400):
+        world.offer("big", 10_000)
+        world.offer("small", 10_000)
+    world.decide()
+    for _ in range(199):
+        world.finish(world.started[-1])
+        world.decide()
+    names = [t.priority_class for t in world.started]
+    assert names.count("big") == pytest.approx(150, abs=2)
+
+
+def test_the_earliest_deadline_of_a_class_starts_first():
+    world = World(limit=1)
+    world.offer("normal", 10)
+    world.decide()
+    late, early = world.offer("normal", 400), world.offer("normal", 300)
+    for ticket in (early, late):
+        world.finish(world.started[-1])
+        world.decide()
+        assert world.started[-1] is ticket
+
+
+def _learned(world, service_ms=20):
+    """Teaches the queue the service time."""
+    for _ in range(40):
+        world.offer("normal")
+        world.decide()
+        world.now += service_ms * _MS
+        world.finish(world.started[-1])
+
+
+def test_a_deadline_below_the_typical_service_time_is_refused_at_once():
+    world = World()
+    _learned(world)
+    with pytest.raises(errors.AdmissionError) as caught:
+        world.offer("normal", 15)
+    assert caught.value.code is errors.ErrorCode.DEADLINE_TOO_SHORT
+    world.offer("normal", 30)
+
+
+def test_what_cannot_be_reached_in_time_is_refused_with_a_retry_time():
+    world = World(limit=1)
+    _learned(world)
+    accepted = 0
+    with pytest.raises(errors.AdmissionError) as caught:
+        for _ in range(100):
+            world.offer("normal", 200)
+            world.decide()
+            accepted += 1
+    assert caught.value.code is errors.ErrorCode.OVERLOADED
+    assert caught.value.retry_after is not None
+    assert 4 <= accepted <= 7
+
+
+def test_a_request_whose_time_ran_out_in_the_queue_never_starts():
+    world = World(limit=1)
+    _learned(world)
+    world.offer("normal", 1000)
+    world.decide()
+    stale = world.offer("normal", 60)
+    world.now += 55 * _MS
+    world.finish(world.started[-1])
+    world.decide()
+    assert world.refused == [stale]
+    assert not world.running
--- /dev/null
+++ b/src/sassafrashold/search/tests/test_replica_choice.py
@@ -0,0 +1,79 @@
+import collections
+import datetime
+import random
+
+import pytest
+
+from sassafrashold import search
+from sassafrashold import settings
+
+_MS = datetime.timedelta(milliseconds=1)
+_OWNER_BY_ZONE = {
+    "a": settings.Address("127.0.0.1", 1),
+    "b": settings.Address("127.0.0.1", 2),
+}
+
+
+def _setup(weights=(1, 1)):
+    tracker = search.LeafTracker(random.Random(7))
+    replicas = [
+        search.Replica(
+            f"leaf-{zone}", zone, weight, tracker.leaf(f"leaf-{zone}")
+        )
+        for zone, weight in zip("ab", weights, strict=True)
+    ]
+    return tracker, replicas
+
+
+def _counts(tracker, replicas, now=100 * _MS, zones=frozenset()):
+    chooser = search.ReplicaChooser(
+        tracker, random.Random(1), lambda r: _OWNER_BY_ZONE[r.zone], zones
+    )
+    return collections.Counter(
+        chooser.primary(replicas, now).zone for _ in range(1000)
+    )
+
+
+def test_work_follows_the_zone_weights():
+    counts = _counts(*_setup(weights=(3, 1)))
+    assert 700 < counts["a"] < 800
+
+
+def test_a_slow_leaf_gets_probes_only():
+    tracker, replicas = _setup()
+    for _ in range(20):
+        replicas[0].record.record(50 * _MS, 100 * _MS)
+        replicas[1].record.record(5 * _MS, 100 * _MS)
+    assert _counts(tracker, replicas)["a"] == 0
+    assert _counts(tracker, replicas, now=10_000 * _MS)["a"] == 1
+
+
+def test_a_straggler_whose_sub_queries_all_lose_is_still_noticed():
+    tracker, replicas = _setup()
+    for _ in range(20):
+        replicas[0].record.record(5 * _MS, 100 * _MS)
+        replicas[1].record.record(5 * _MS, 100 * _MS)
+    for _ in range(8):
+        replicas[0].record.record_unfinished(10 * _MS, 100 * _MS)
+    assert _counts(tracker, replicas)["a"] == 0
+
+
+@pytest.mark.parametrize(
+    "fail",
+    [
+        lambda tracker, now: tracker.leaf_failed("leaf-a", now),
+        lambda tracker, now: tracker.owner_failed(_OWNER_BY_ZONE["a"], now),
+    ],
+)
+def test_a_failed_leaf_or_owner_is_avoided_for_a_while(fail):
+    tracker, replicas = _setup()
+    fail(tracker, 90 * _MS)
+    assert _counts(tracker, replicas)["a"] == 0
+    assert _counts(tracker, replicas, now=9000 * _MS)["a"] > 400
+
+
+def test_an_unreachable_zone_is_used_only_without_another_choice():
+    tracker, replicas = _setup()
+    zones = frozenset({"a"})
+    assert _counts(tracker, replicas, zones=zones)["a"] == 0
+    assert _counts(tracker, replicas[:1], zones=zones)["a"] == 1000
