Test floors at each start, queue bounds and service limits

Cause: in trials with removed rules the tests did not notice four of them (floors, queue limit, service limit, busy leafs in later queries). Change: stricter checks.

--- a/src/sassafrashold/admission/tests/test_floors_and_deadlines.py
+++ b/src/sassafrashold/admission/tests/test_floors_and_deadlines.py
@@ -10,9 +10,9 @@
 
 _MS = datetime.timedelta(milliseconds=1)
 _CLASSES = (
-    admission.ClassPolicy("lookup", 10, 60, 50),
-    admission.ClassPolicy("normal", 3, 0, 50),
-    admission.ClassPolicy("archive", 1, 10, 50),
+    admission.ClassPolicy("lookup", 10, 60, 6),
+    admission.ClassPolicy("normal", 3, 0, 6),
+    admission.ClassPolicy("archive", 1, 10, 6),
 )
 
 
@@ -23,6 +23,8 @@
         self.queue = admission.AdmissionQueue(policies)
         self.queue.entry_limit = admission.ConcurrencyLimit(limit, 1, limit)
         self.now = 1000 * _MS
+        self.limit = limit
+        self.waiting = []
         self.running = {}
         self.started = []
         self.refused = []
@@ -32,17 +34,29 @@
             name, service, self.now + deadline_ms * _MS, self.now
         )
         self.queue.offer(ticket, self.now)
+        self.waiting.append(ticket)
         return ticket
 
     def decide(self):
         for decision in self.queue.decide(self.now):
+            self.waiting.remove(decision.ticket)
             match decision:
                 case admission.Start(ticket):
+                    self.check_floors(ticket)
                     self.running[ticket] = self.now
                     self.started.append(ticket)
                 case admission.Refuse(ticket, _):
                     self.refused.append(ticket)
 
+    def check_floors(self, ticket):
+        """A class above its floor starts only if none below it waits."""
+        waiting = {t.priority_class for t in self.waiting}
+        if any(self.is_below_floor(name) for name in waiting):
+            assert self.is_below_floor(ticket.priority_class)
+
+    def is_below_floor(self, name):
+        return self.count(name) < self.queue.floor_of(name, self.limit)
+
     def finish(self, ticket):
         del self.running[ticket]
         self.queue.finish(ticket, self.now, False, True)
@@ -67,43 +81,44 @@
 )
 def test_floors_limits_and_queue_bounds_hold(steps, limit):
     world = World(limit=limit)
-    waiting = []
     for step in steps:
         if isinstance(step, int):
             world.now += step * _MS
             if world.running:
-                world.finish(sorted(world.running, key=lambda t: t.arrived)[0])
+                world.finish(min(world.running, key=lambda t: t.arrived))
         else:
             try:
-                waiting.append(world.offer(*step))
+                world.offer(*step)
             except errors.AdmissionError as error:
                 assert error.ran is errors.Ran.NOT_RUN
-        before = len(world.started)
-        free = limit - len(world.running)
         world.decide()
-        waiting = [
-            t
-            for t in waiting
-            if t not in world.started and t not in world.refused
-        ]
         assert len(world.running) <= limit
-        assert len(world.started) - before <= max(free, 0)
+        # Work conserving: nothing waits beside a free place.
+        assert not world.waiting or len(world.running) == limit
+        assert world.queue.waiting_by_class() == {
+            policy.name: sum(
+                t.priority_class == policy.name for t in world.waiting
+            )
+            for policy in _CLASSES
+        }
         for policy in _CLASSES:
-            name = policy.name
-            queued = [t for t in waiting if t.priority_class == name]
-            assert len(queued) <= policy.queue_limit
-            assert world.queue.waiting_by_class()[name] == len(queued)
-            # Work conserving: nothing waits beside a free place.
-            assert not queued or len(world.running) == limit
-            # Below its floor a class waits only if all other places were
-            # taken before, so no class above its floor was started now.
-            if queued and world.count(name) + 1 <= world.queue.floor_of(
-                name, limit
-            ):
-                for ticket in world.started[before:]:
-                    other = ticket.priority_class
-                    floor = world.queue.floor_of(other, limit)
-                    assert world.count(other) < floor + 1
+            waiting = world.queue.waiting_by_class()[policy.name]
+            assert waiting <= policy.queue_limit
+
+
+def test_a_service_at_its_limit_does_not_hold_up_the_others():
+    world = World(limit=100)
+    for _ in range(5):
+        for name in ("lookup", "normal", "archive"):
+            world.offer(name, service="slow")
+        world.decide()
+    for _ in range(4):
+        world.offer("normal", service="slow")
+    world.decide()
+    assert len(world.running) == world.queue.limit_by_service()["slow"] == 16
+    fast = world.offer("normal", service="fast")
+    world.decide()
+    assert world.started[-1] is fast
 
 
 def test_a_free_place_follows_the_shares_between_backlogged_classes():
--- a/src/sassafrashold/search/tests/test_one_result_per_shard.py
+++ b/src/sassafrashold/search/tests/test_one_result_per_shard.py
@@ -205,6 +205,12 @@
         world.now = world.plan.next_due()
         world.carry_out(world.plan.on_time(world.now))
     assert [a.kind.value for a in world.sent] == ["primary", "hedge"]
+    # Other queries do not hedge to it either, for a while.
+    chooser = search.ReplicaChooser(world.tracker, world.random, lambda r: None)
+    busy = [hedge.replica]
+    refused = hedge.ended
+    assert chooser.hedge(busy, refused + 49 * _MS, ()) is None
+    assert chooser.hedge(busy, refused + 50 * _MS, ()) is hedge.replica
 
 
 def test_moving_ownership_is_retried_without_budget_until_the_deadline():
