Take the deadline of a refusal test when it runs

Cause: the cases computed their deadlines at collection, so in a run of more than 2 s before them the leaf answered EXPIRED (504) instead of the expected refusal. Ruled out: the leaf. Change: the cases hold arguments, the test builds the request.

--- a/src/sassafrashold/standins/tests/test_leaf_keeps_its_bounds_and_record.py
+++ b/src/sassafrashold/standins/tests/test_leaf_keeps_its_bounds_and_record.py
@@ -114,16 +114,18 @@
 
 
 @pytest.mark.parametrize(
-    ("body", "faults", "expected"),
+    ("query", "faults", "expected"),
     [
-        (_query(in_ms=-(10**9)), {}, (504, "EXPIRED")),
-        (_query(version="v0"), {}, (410, "VERSION_GONE")),
-        (_query(version="v1", shards=(1,)), {}, (410, "VERSION_GONE")),
-        (_query(in_ms=10**9), {"draining": True}, (503, "DRAINING")),
-        (_query(in_ms=10**9), {"shed_percent": 100}, (503, "SHED")),
+        ({"in_ms": -(10**9)}, {}, (504, "EXPIRED")),
+        ({"version": "v0"}, {}, (410, "VERSION_GONE")),
+        ({"version": "v1", "shards": (1,)}, {}, (410, "VERSION_GONE")),
+        ({"in_ms": 10**9}, {"draining": True}, (503, "DRAINING")),
+        ({"in_ms": 10**9}, {"shed_percent": 100}, (503, "SHED")),
     ],
 )
-async def test_refusals_say_that_nothing_ran(served, body, faults, expected):
+async def test_refusals_say_that_nothing_ran(served, query, faults, expected):
+    # Built here: a deadline set at collection would pass in a long run.
+    body = _query(**query)
     start, session = served
     server, url = await start()
     server.leaf.faults = server.leaf.faults.with_changes(faults)
