--- /dev/null
+++ b/src/sassafrashold/leafs/client.py
@@ -0,0 +1,328 @@
+"""HTTP client of one leaf (leaf protocol, section 4.3 of docs/design.md)."""
+
+import asyncio
+from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
+import datetime
+import json
+from typing import Any
+
+import aiohttp
+
+from sassafrashold import clock as clock_lib
+from sassafrashold import documents
+from sassafrashold import errors
+from sassafrashold import settings
+
+_CONNECT_TIMEOUT_S = 0.5
+_SIDE_CALL_TIMEOUT_S = 0.5
+_KEEP_OPEN_S = 3600.0
+_HEADERS = {"Content-Type": "application/json"}
+_CODE_BY_REFUSAL = {
+    (410, "VERSION_GONE"): errors.ErrorCode.VERSION_GONE,
+    (503, "SHED"): errors.ErrorCode.LEAF_SHED,
+    (503, "DRAINING"): errors.ErrorCode.DRAINING,
+    (504, "EXPIRED"): errors.ErrorCode.DEADLINE_EXCEEDED,
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Item:
+    """One item of a query call."""
+
+    item_id: str
+    """Unique within the call."""
+
+    shard: int
+    """Shard to search."""
+
+    query: bytes
+    """JSON text; the caller has checked that it is valid."""
+
+
+@dataclasses.dataclass(frozen=True)
+class QueryAnswer:
+    """Answer to a query call."""
+
+    generation: str
+    """Changes when the leaf restarts."""
+
+    rows_by_id: Mapping[str, bytes]
+    """JSON rows by item id."""
+
+
+@dataclasses.dataclass(frozen=True)
+class DispatchAnswer:
+    """Answer to a dispatch call."""
+
+    generation: str
+    """Changes when the leaf restarts."""
+
+    result: bytes
+    """JSON result."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Health:
+    """The leaf's own report; a hint and never proof."""
+
+    generation: str
+    """Changes when the leaf restarts."""
+
+    draining: bool
+    """Whether it says that it drains."""
+
+
+class LeafClient:
+    """Keeps a bounded number of open connections to one leaf."""
+
+    def __init__(
+        self,
+        address: settings.Address,
+        connections: int,
+        clock: clock_lib.Clock,
+    ) -> None:
+        """Initializes the client; it connects with the first call.
+
+        Args:
+            address: Where the leaf listens.
+            connections: Connections at once, kept open between calls.
+            clock: The clock.
+        """
+        self._base = f"http://{address}/v1/"
+        self._address = address
+        self._clock = clock
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=connections, keepalive_timeout=_KEEP_OPEN_S
+            ),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+            auto_decompress=False,
+        )
+        # Reports and cancellations use one connection at most, so that calls
+        # get the others.
+        self._side_calls = asyncio.Lock()
+
+    async def query(
+        self,
+        request_id: str,
+        service: str,
+        index_version: str,
+        items: Sequence[Item],
+        deadline: datetime.datetime,
+        traceparent: str | None = None,
+    ) -> QueryAnswer:
+        """Searches some shards.
+
+        Args:
+            request_id: Unique id, by which the call can be cancelled.
+            service: Service.
+            index_version: Snapshot; the answer has to come from it.
+            items: What to search.
+            deadline: Wall time at which the leaf stops; at most 2 s away.
+            traceparent: W3C trace context.
+
+        Raises:
+            LeafError: NOT_RUN only if the leaf said so or was not reached.
+        """
+        head = documents.dump(
+            {
+                "request_id": request_id,
+                "service": service,
+                "index_version": index_version,
+                "deadline_unix_ms": clock_lib.to_unix_ms(deadline),
+            }
+        )
+        parts = [
+            b'{"id":%s,"shard":%d,"query":%s}'
+            % (json.dumps(item.item_id).encode(), item.shard, item.query)
+            for item in items
+        ]
+        body = head[:-1] + b',"items":[' + b",".join(parts) + b"]}"
+        document = await self._post("query", body, deadline, traceparent)
+        if document.get("index_version") != index_version:
+            raise errors.LeafError(
+                errors.ErrorCode.VERSION_MISMATCH,
+                f"asked for {index_version!r}, the leaf answered from "
+                f"{document.get('index_version')!r}",
+                ran=errors.Ran.OUTCOME_UNKNOWN,
+            )
+        return QueryAnswer(_generation(document), _rows(document))
+
+    async def dispatch(
+        self,
+        idempotency_key: str,
+        claim_id: str,
+        body: bytes,
+        deadline: datetime.datetime,
+        traceparent: str | None = None,
+    ) -> DispatchAnswer:
+        """Runs one non-idempotent call; arguments and errors as in `query`."""
+        head = documents.dump(
+            {
+                "idempotency_key": idempotency_key,
+                "claim_id": claim_id,
+                "deadline_unix_ms": clock_lib.to_unix_ms(deadline),
+            }
+        )
+        text = head[:-1] + b',"body":' + body + b"}"
+        document = await self._post("dispatch", text, deadline, traceparent)
+        if "result" not in document:
+            raise _failed("the answer has no result")
+        return DispatchAnswer(
+            _generation(document), documents.dump(document["result"])
+        )
+
+    async def cancel(self, request_id: str) -> bool:
+        """Asks the leaf to stop a call.
+
+        Returns:
+            Whether the leaf says that it has stopped it.
+        """
+        document = await self._side_call("DELETE", f"requests/{request_id}")
+        cancelled = (document or {}).get("cancelled")
+        return isinstance(cancelled, int) and cancelled > 0
+
+    async def health(self) -> Health | None:
+        """Returns the leaf's own report; None if it gives none."""
+        document = await self._side_call("GET", "health")
+        if document is None or "generation" not in document:
+            return None
+        return Health(
+            str(document["generation"]), document.get("state") == "draining"
+        )
+
+    async def close(self) -> None:
+        """Closes all connections; calls under way fail."""
+        await self._session.close()
+
+    async def _side_call(self, method: str, path: str) -> dict[str, Any] | None:
+        """Makes a call whose failure does not matter."""
+        timeout = aiohttp.ClientTimeout(total=_SIDE_CALL_TIMEOUT_S)
+        async with self._side_calls:
+            try:
+                async with self._session.request(
+                    method, self._base + path, timeout=timeout
+                ) as response:
+                    document = json.loads(await response.read())
+            except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+                return None
+        return document if isinstance(document, dict) else None
+
+    async def _post(
+        self,
+        path: str,
+        body: bytes,
+        deadline: datetime.datetime,
+        traceparent: str | None,
+    ) -> dict[str, Any]:
+        remaining = (deadline - self._clock.now()).total_seconds()
+        if remaining <= 0:
+            raise errors.LeafError(
+                errors.ErrorCode.DEADLINE_EXCEEDED,
+                "no time left for the leaf call",
+            )
+        headers = _HEADERS
+        if traceparent is not None:
+            headers = {**_HEADERS, "traceparent": traceparent}
+        timeout = aiohttp.ClientTimeout(
+            total=remaining, sock_connect=_CONNECT_TIMEOUT_S
+        )
+        try:
+            async with self._session.post(
+                self._base + path, data=body, headers=headers, timeout=timeout
+            ) as response:
+                status = response.status
+                data = await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise self._translate(error) from error
+        document = _parse(data)
+        if status != 200:
+            raise _refusal(status, document)
+        if document is None:
+            raise _failed("the answer is not a JSON object")
+        return document
+
+    def _translate(self, error: Exception) -> errors.LeafError:
+        """Returns the error for a call that ended without an answer."""
+        match error:
+            case (
+                aiohttp.ClientConnectorError()
+                | aiohttp.ConnectionTimeoutError()
+            ):
+                return errors.LeafError(
+                    errors.ErrorCode.LEAF_UNREACHABLE,
+                    f"cannot connect to {self._address}: {error}",
+                )
+            case TimeoutError():
+                return errors.LeafError(
+                    errors.ErrorCode.DEADLINE_EXCEEDED,
+                    "the leaf did not answer in time",
+                    ran=errors.Ran.OUTCOME_UNKNOWN,
+                )
+            case _:
+                return errors.LeafError(
+                    errors.ErrorCode.CONNECTION_LOST,
+                    f"lost the connection to {self._address}: {error!r}",
+                    ran=errors.Ran.OUTCOME_UNKNOWN,
+                )
+
+
+def _parse(data: bytes) -> dict[str, Any] | None:
+    try:
+        document = json.loads(data)
+    except (ValueError, RecursionError):
+        return None
+    return document if isinstance(document, dict) else None
+
+
+def _generation(document: dict[str, Any]) -> str:
+    return str(document.get("generation", ""))
+
+
+def _rows(document: dict[str, Any]) -> dict[str, bytes]:
+    items = document.get("items")
+    if not isinstance(items, list):
+        raise _failed("the answer has no items")
+    return {
+        str(item.get("id")): documents.dump(item["rows"])
+        for item in items
+        if isinstance(item, dict) and isinstance(item.get("rows"), list)
+    }
+
+
+def _refusal(status: int, document: dict[str, Any] | None) -> errors.LeafError:
+    """Returns the error for an answer other than 200."""
+    body = document or {}
+    if isinstance(body.get("error"), dict):
+        body = {"error": body["error"].get("code"), **body["error"]}
+    name = body.get("error")
+    code = _CODE_BY_REFUSAL.get((status, str(name)))
+    if code is not None and body.get("ran") is False:
+        retry_after = body.get("retry_after_ms")
+        return errors.LeafError(
+            code,
+            f"the leaf refused the call: {name}",
+            retry_after=(
+                clock_lib.from_ms(retry_after)
+                if isinstance(retry_after, int) and retry_after >= 0
+                else None
+            ),
+        )
+    if status == 504:
+        return errors.LeafError(
+            errors.ErrorCode.DEADLINE_EXCEEDED,
+            "the leaf did not finish in time",
+            ran=errors.Ran.OUTCOME_UNKNOWN,
+        )
+    return _failed(f"status {status}: {name}")
+
+
+def _failed(message: str) -> errors.LeafError:
+    return errors.LeafError(
+        errors.ErrorCode.LEAF_FAILED,
+        f"the leaf failed the call: {message}",
+        ran=errors.Ran.OUTCOME_UNKNOWN,
+    )
--- /dev/null
+++ b/src/sassafrashold/owner/__init__.py
@@ -0,0 +1,4 @@
+"""The owner daemon: calls the leafs that its host owns.
+
+The binary is `sassafrashold.owner.main`.
+"""
