--- a/src/sassafrashold/load/_balancer.py
+++ b/src/sassafrashold/load/_balancer.py
@@ -1,6 +1,9 @@
 """Sends requests to ready entries in turn, as the platform's balancer does."""
 
 import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+from collections.abc import Iterable
 from collections.abc import Mapping
 import contextlib
 import dataclasses
@@ -133,18 +136,23 @@
 
 
 async def send_all(
-    offsets: list[float], send: Any, spare_s: float = 0.0
+    offsets: Iterable[float],
+    send: Callable[[int, float], Coroutine[Any, Any, None]],
+    stopping: asyncio.Event | None = None,
 ) -> None:
     """Starts `send(number, intended time)` at each offset; waits for all.
 
-    Open loop: a slow answer never delays the next request.
+    Open loop: a slow answer never delays the next request. No more are started
+    once `stopping` is set.
     """
     loop = asyncio.get_running_loop()
-    start = loop.time() + spare_s
+    start = loop.time()
     async with asyncio.TaskGroup() as group:
         for number, offset in enumerate(offsets):
             due = start + offset
             delay = due - loop.time()
             if delay > 0:
                 await asyncio.sleep(delay)
+            if stopping is not None and stopping.is_set():
+                break
             group.create_task(send(number, due))
--- a/src/sassafrashold/load/_dispatch.py
+++ b/src/sassafrashold/load/_dispatch.py
@@ -137,10 +137,8 @@
     ):
         await _records.reset(session, plan.leaf_admins)
         run = _Run(plan, balancer)
-        offsets = list(
-            _plan.arrival_offsets(
-                plan.rate, plan.duration_s, plan.arrivals, plan.seed
-            )
+        offsets = _plan.arrival_offsets(
+            plan.rate, plan.duration_s, plan.arrivals, plan.seed
         )
         await _balancer.send_all(offsets, run.send)
         # A leaf call of a lost attempt lasts up to 2 s.
--- a/src/sassafrashold/load/_search.py
+++ b/src/sassafrashold/load/_search.py
@@ -89,11 +89,17 @@
     return {name: value for name, value in body.items() if value is not None}
 
 
-async def run_searches(plan: _plan.SearchPlan) -> dict[str, Any]:
+async def run_searches(
+    plan: _plan.SearchPlan, stopping: asyncio.Event | None = None
+) -> dict[str, Any]:
     """Runs a load and returns its figures in JSON form.
 
     Latencies count from the intended send time, so a generator or an entry that
     falls behind is not hidden.
+
+    Args:
+        plan: What to send.
+        stopping: Ends the load before its time when it is set.
     """
     timeout = aiohttp.ClientTimeout(total=plan.timeout_s)
     connector = aiohttp.TCPConnector(limit=0)
@@ -103,13 +109,11 @@
     ):
         await _records.reset(session, plan.leaf_admins)
         run = _Run(plan, balancer)
-        offsets = list(
-            _plan.arrival_offsets(
-                plan.rate, plan.duration_s, plan.arrivals, plan.seed
-            )
+        offsets = _plan.arrival_offsets(
+            plan.rate, plan.duration_s, plan.arrivals, plan.seed
         )
         run.begin = asyncio.get_running_loop().time()
-        await _balancer.send_all(offsets, run.send)
+        await _balancer.send_all(offsets, run.send, stopping)
         elapsed = asyncio.get_running_loop().time() - run.begin
         records = await _records.fetch(session, plan.leaf_admins, False)
     return _report(plan, run, elapsed, records)
