Use the platform's gateway client in control

Control's own client and its in-test store are replaced by platform.GatewayStore and platform.MemoryStore.

--- a/src/sassafrashold/control/_lease_writer.py
+++ b/src/sassafrashold/control/_lease_writer.py
@@ -1,5 +1,6 @@
 """Sends the updates of the lease that the rules ask for."""
 
+import asyncio
 import datetime
 import logging
 
@@ -10,6 +11,7 @@
 from sassafrashold.control import _store
 
 _LOGGER = logging.getLogger(__name__)
+_TIMEOUT_S = _store.LEASE_CALL_TIMEOUT.total_seconds()
 
 # Time between the first answer that there is no lease and its creation, so
 # that hosts that start together are in the first epoch together.
@@ -52,13 +54,14 @@
         """
         node = self._node
         try:
-            found = await self._store.get(node.lease_key)
-        except errors.StoreError as error:
+            async with asyncio.timeout(_TIMEOUT_S):
+                found = await self._store.get(node.lease_key)
+        except (errors.StoreError, TimeoutError) as error:
             _LOGGER.debug("cannot read the lease", extra={"error": str(error)})
             return None
         now = node.now()
         node.lease.store_reached(now)
-        if found.version == 0:
+        if found is None:
             self._absent_since = self._absent_since or now
             return None
         self._absent_since = None
@@ -110,15 +113,19 @@
         sent = node.now()
         outcome, version = lease.Outcome.UNKNOWN, 0
         try:
-            version = await self._store.put(
-                node.lease_key, write.expected_version, write.lease.encode()
-            )
+            async with asyncio.timeout(_TIMEOUT_S):
+                version = await self._store.put(
+                    node.lease_key, write.lease.encode(), write.expected_version
+                )
             outcome = lease.Outcome.APPLIED
         except errors.StoreConflictError:
             outcome = lease.Outcome.CONFLICT
         except errors.StoreError as error:
             if error.ran is errors.Ran.NOT_RUN:
                 outcome = lease.Outcome.NOT_RUN
+        except TimeoutError:
+            # The write may still be under way; it is read back below.
+            outcome = lease.Outcome.UNKNOWN
         if outcome in (lease.Outcome.UNKNOWN, lease.Outcome.CONFLICT):
             found = await self.read()
             if found is not None and found.write_id == write.lease.write_id:
--- a/src/sassafrashold/control/_readers.py
+++ b/src/sassafrashold/control/_readers.py
@@ -1,17 +1,15 @@
 """Reads the store and the host list for the zone."""
 
 import datetime
-import logging
 
-from sassafrashold import errors
 from sassafrashold import lease
+from sassafrashold import platform
 from sassafrashold import table
 from sassafrashold import views
 from sassafrashold.control import _node
 from sassafrashold.control import _objects
 from sassafrashold.control import _store
 
-_LOGGER = logging.getLogger(__name__)
 _SHARDMAPS = "shardmaps/"
 _WATCH = datetime.timedelta(seconds=20)
 
@@ -51,7 +49,7 @@
         )
         self._reached()
         if found is not None:
-            self._put(key, found)
+            self._put(found)
         return True
 
     async def read_shardmaps(self) -> None:
@@ -84,13 +82,13 @@
         if not self._node.is_reader():
             return
         read = self._node.now()
-        found = await self._store.host_list()
+        version, value = await self._store.host_list()
         self._reached()
-        self._node.record_hosts(found.value, read)
-        self._put(views.HOSTS_KEY, found)
+        self._node.record_hosts(value, read)
+        self._put(platform.Stored(views.HOSTS_KEY, version, value))
 
     async def _read_newer(self, prefix: str, skip: tuple[str, ...]) -> None:
-        versions = await self._store.list_versions(prefix)
+        versions = await self._store.list(prefix)
         self._reached()
         for key, version in versions.items():
             if key not in skip and version > self._node.objects.version(key):
@@ -99,20 +97,19 @@
     async def _read(self, key: str) -> None:
         found = await self._store.get(key)
         self._reached()
-        if found.version > 0:
-            self._put(key, found)
+        if found is not None:
+            self._put(found)
 
     def _reached(self) -> None:
         self._node.lease.store_reached(self._node.now())
 
-    def _put(self, key: str, found: _store.Versioned) -> None:
-        try:
-            self._node.put(
-                _objects.StoredObject(
-                    key, found.version, found.value, self._node.now(), "store"
-                )
-            )
-        except errors.SassafrasError as error:
-            _LOGGER.error(
-                "ignored an object", extra={"key": key, "error": str(error)}
+    def _put(self, found: platform.Stored) -> None:
+        self._node.put(
+            _objects.StoredObject(
+                found.key,
+                found.version,
+                found.value,
+                self._node.now(),
+                "store",
             )
+        )
--- a/src/sassafrashold/control/tests/fakes.py
+++ b/src/sassafrashold/control/tests/fakes.py
@@ -14,81 +14,24 @@
 from sassafrashold import wire
 from sassafrashold.control import _daemon
 from sassafrashold.control import _settings
-from sassafrashold.control import _store
 
 CLOCK = clock_lib.SystemClock()
 
 
-class FakeStore:
-    """Shared by all controls of a test."""
-
-    def __init__(self):
-        self.by_key = {}
-        self.version = 0
-        self.down = False
-        self.lose_answers = 0
-        self.writes = []
-        self.hosts = {}
-        self.changed = asyncio.Condition()
-
-    def _check(self):
-        if self.down:
-            raise errors.StoreError(errors.ErrorCode.STORE_UNAVAILABLE, "down")
-
-    async def get(self, key):
-        self._check()
-        return self.by_key.get(key, _store.Versioned(0, b""))
-
-    async def put(self, key, expected_version, value):
-        self._check()
-        found = (await self.get(key)).version
-        if found != expected_version:
-            raise errors.StoreConflictError(key, expected_version, found)
-        self.version += 1
-        self.by_key[key] = _store.Versioned(self.version, value)
-        self.writes.append(key)
-        async with self.changed:
-            self.changed.notify_all()
-        if self.lose_answers:
-            self.lose_answers -= 1
-            raise errors.StoreError(
-                errors.ErrorCode.STORE_AMBIGUOUS,
-                "answer lost",
-                ran=errors.Ran.OUTCOME_UNKNOWN,
-            )
-        return self.version
-
-    async def watch(self, key, known_version, wait):
-        self._check()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(wait.total_seconds()), self.changed:
-                await self.changed.wait_for(
-                    lambda: (
-                        self.by_key.get(key, _store.Versioned(0, b"")).version
-                        != known_version
-                    )
-                )
-                return self.by_key[key]
-        return None
-
-    async def list_versions(self, prefix):
-        self._check()
-        return {
-            key: found.version
-            for key, found in self.by_key.items()
-            if key.startswith(prefix)
+def list_hosts(store, names, zone="luzon-a", leaving=()):
+    """Sets the platform's host list."""
+    as_of = clock_lib.to_unix_ms(CLOCK.now())
+    hosts = [
+        {
+            "host": name,
+            "zone": zone,
+            "state": "leaving" if name in leaving else "live",
         }
-
-    async def host_list(self):
-        self._check()
-        as_of = clock_lib.to_unix_ms(CLOCK.now())
-        hosts = [
-            {"host": host, "zone": zone, "state": "live"}
-            for host, zone in self.hosts.items()
-        ]
-        return _store.Versioned(
-            as_of, documents.dump({"as_of_unix_ms": as_of, "hosts": hosts})
-        )
+        for name in names
+    ]
+    store.set_host_list(
+        as_of, documents.dump({"as_of_unix_ms": as_of, "hosts": hosts})
+    )
 
 
 class Host:
@@ -143,6 +86,19 @@
         )
         return wire.decode(reply_type, body)
 
+    async def subscribe(self):
+        """Yields the objects of a subscription."""
+        request = wire.messages.SubscribeRequest(process="test", prefixes=[])
+        async with contextlib.aclosing(
+            self.client.stream(
+                "subscribe",
+                wire.encode(request),
+                deadline=CLOCK.now() + datetime.timedelta(minutes=1),
+            )
+        ) as items:
+            async for item in items:
+                yield wire.decode(wire.messages.ViewObject, item)
+
     async def _call(self):
         while True:
             with contextlib.suppress(errors.RpcError):
--- a/src/sassafrashold/control/tests/world.py
+++ b/src/sassafrashold/control/tests/world.py
@@ -106,6 +106,7 @@
         self.history = []  # (version, lease, time of commit)
         self.flights = []
         self.exchanges = []
+        self.promised = dict.fromkeys(names, datetime.timedelta())
         self.store = "ok"
         self.read_stale = False
 
@@ -142,6 +143,7 @@
         )
         if chance.random() < 0.3:
             host.released_epoch = max(host.released_epoch, reply.epoch)
+        self._note_promise(host)
         self._read(host, chance)
         self._write(host, chance)
         others = [
@@ -152,6 +154,12 @@
         if others and chance.random() < 0.4:
             self._ask(host, chance.choice(others), chance)
 
+    def _note_promise(self, host):
+        promise = host.node.refresh().promise
+        if promise is not None:
+            made = host.true(promise.made)
+            self.promised[host.name] = max(made, self.promised[host.name])
+
     def _ask(self, host, peer, chance):
         if host.alone or peer.alone:
             return
@@ -231,6 +239,8 @@
                 write, lease.Outcome.NOT_RUN, version=0, sent=now, now=now
             )
             return
+        if write.kind is lease.WriteKind.PROPOSE:
+            self._check_proposal(host)
         delay = {"ok": 0, "lossy": 5, "slow": 60}[self.store]
         self.flights.append(
             Flight(
@@ -303,6 +313,13 @@
             earlier = self.history[-1][1].earlier
             assert len(earlier) <= lease.MAX_EARLIER
 
+    def _check_proposal(self, host):
+        if host.name in host.node.lease.lease.member_by_host:
+            waited = self.now - self.promised[host.name]
+            assert waited >= lease.LEASE_TIME, (
+                f"{host.name} proposes {waited} after it promised not to"
+            )
+
     def _check_evidence(self, host):
         proof = host.node.lease.evidence(host.node.now())
         if proof is None:
