--- a/src/sassafrashold/admission/tests/test_floors_and_deadlines.py
+++ b/src/sassafrashold/admission/tests/test_floors_and_deadlines.py
@@ -109,6 +109,19 @@
             assert waiting <= policy.queue_limit
 
 
+def test_a_full_queue_refuses_and_leaves_the_other_classes_open():
+    world = World(limit=1)
+    world.offer("archive")
+    world.decide()
+    for _ in range(6):
+        world.offer("normal")
+    with pytest.raises(errors.AdmissionError) as caught:
+        world.offer("normal")
+    assert caught.value.code is errors.ErrorCode.OVERLOADED
+    world.offer("lookup")
+    assert world.queue.waiting == 7
+
+
 def test_a_service_at_its_limit_does_not_hold_up_the_others():
     world = World(limit=100)
     for _ in range(5):
--- a/src/sassafrashold/entry/_daemon.py
+++ b/src/sassafrashold/entry/_daemon.py
@@ -1,14 +1,14 @@
 """The entry daemon: sockets, tasks and their life."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Mapping
 import contextlib
 import dataclasses
 import datetime
 import logging
 import operator
-from typing import Any
 
 from aiohttp import web
 import reactivex
@@ -49,8 +49,8 @@
     gateway: Mapping[str, rpc.Handler]
     """Methods that the local control calls."""
 
-    close: Coroutine[Any, Any, None] | None = None
-    """Awaited at the end."""
+    close: Callable[[], Awaitable[None]] | None = None
+    """Called at the end."""
 
 
 class Daemon:
@@ -231,7 +231,7 @@
         await self._owner.close()
         await self._pool.close()
         if self._platform.close is not None:
-            await self._platform.close
+            await self._platform.close()
         self._tracer.shutdown()
 
 
--- a/src/sassafrashold/entry/main.py
+++ b/src/sassafrashold/entry/main.py
@@ -7,10 +7,12 @@
 
 from sassafrashold import clock
 from sassafrashold import errors
+from sassafrashold import platform
 from sassafrashold import process
 from sassafrashold.entry import _daemon
 from sassafrashold.entry import _sender
 from sassafrashold.entry import _settings
+from sassafrashold.platform import http
 
 
 class _NoDispatcher:
@@ -33,8 +35,17 @@
 async def _run(
     values: _settings.EntrySettings, stopping: asyncio.Event
 ) -> None:
-    parts = _daemon.PlatformParts(_NoDispatcher(), {})
-    await _daemon.Daemon(values, clock.SystemClock(), parts).run(stopping)
+    system_clock = clock.SystemClock()
+    client = http.HttpPlatform(values.platform, system_clock)
+    parts = _daemon.PlatformParts(
+        _NoDispatcher(),
+        platform.gateway_handlers(client, client),
+        client.close,
+    )
+    await _daemon.Daemon(values, system_clock, parts).run(stopping)
 
 
 main = process.command("entry", _settings.EntrySettings, _run)
+
+if __name__ == "__main__":
+    main()
