Show an example of each refusal in load reports

Cause: codes alone did not tell what refused searches during a trial. Change: the first body of each code is kept with its time and entry.

--- a/src/sassafrashold/load/_search.py
+++ b/src/sassafrashold/load/_search.py
@@ -34,12 +34,14 @@
         self.shards_answered = 0
         self.count_by_fault: collections.Counter[str] = collections.Counter()
         self.example_by_fault: dict[str, Any] = {}
+        self.example_by_code: dict[str, Any] = {}
         self.versions: collections.Counter[str] = collections.Counter()
         self.last_counted = -1.0
         self.begin: float | None = None
 
     async def send(self, number: int, due: float) -> None:
         """Sends one request and records its end."""
+        assert self.begin is not None
         loop = asyncio.get_running_loop()
         lag = loop.time() - due
         target = self._targets[number % len(self._targets)]
@@ -55,7 +57,16 @@
             self.shards_answered += answer.body.get("shards_answered", 0)
             self.versions[str(answer.body.get("index_version"))] += 1
             self._check(target.service, query, answer.body)
-        assert self.begin is not None
+        else:
+            self.example_by_code.setdefault(
+                answer.code,
+                {
+                    "after_s": round(due - self.begin, 3),
+                    "service": target.service,
+                    "entry": answer.entry and str(answer.entry.address),
+                    "body": answer.body,
+                },
+            )
         if due - self.begin < self._plan.warmup_s:
             return
         self.lag.add(max(0.0, lag))
@@ -136,6 +147,7 @@
         "generator_lag": run.lag.figures(),
         **run.parts.figures(),
         "answers_by_version": dict(run.versions),
+        "refusal_examples": run.example_by_code,
         "wrong_answers": dict(run.count_by_fault),
         "wrong_answer_examples": run.example_by_fault,
     }
