--- a/src/sassafrashold/leafs/tests/test_entitlement_follows_the_dispatch_rule.py
+++ b/src/sassafrashold/leafs/tests/test_entitlement_follows_the_dispatch_rule.py
@@ -8,7 +8,7 @@
 from sassafrashold import membership
 
 LEAF = "leaf-1"
-OWNER = membership.choose(LEAF, ["a", "b", "c"])
+OWNER = membership.rank(LEAF, ["a", "b", "c"])[0]
 OTHERS = [host for host in "abc" if host != OWNER]
 START = datetime.timedelta(seconds=100)
 TICK = datetime.timedelta(microseconds=1)
--- a/src/sassafrashold/leafs/tests/test_leaf_adapts_to_load_and_faults.py
+++ b/src/sassafrashold/leafs/tests/test_leaf_adapts_to_load_and_faults.py
@@ -181,7 +181,7 @@
 def test_an_unreachable_leaf_gets_single_probes_with_growing_pauses():
     bench = Bench()
     error = errors.LeafError(errors.ErrorCode.LEAF_UNREACHABLE, "refused")
-    pauses = []
+    pauses: list[int] = []
     for _ in range(8):
         waited = 0
         while not isinstance(bench.submit(0), leafs.Waiter):
--- a/src/sassafrashold/leafs/tests/test_leaf_bounds_calls_and_answers_once.py
+++ b/src/sassafrashold/leafs/tests/test_leaf_bounds_calls_and_answers_once.py
@@ -45,7 +45,7 @@
         super().__init__()
         self.clock = clock_lib.ManualClock()
         self.leaf = leafs.Leaf(LIMITS, self.clock)
-        self.answers = collections.Counter()
+        self.answers: collections.Counter[leafs.Waiter] = collections.Counter()
         self.waiting = set()
         self.batches = []
         self.may_run_until = []
--- a/src/sassafrashold/leafs/tests/test_sum_of_all_owners_never_exceeds_slots.py
+++ b/src/sassafrashold/leafs/tests/test_sum_of_all_owners_never_exceeds_slots.py
@@ -36,11 +36,13 @@
         self.slots = slots
         self.now = _seconds(1000)
         self.known = {host: leafs.Entitlement(host) for host in HOSTS}
-        self.calls = {host: [] for host in HOSTS}
+        self.calls: dict[str, list[datetime.timedelta]] = {
+            host: [] for host in HOSTS
+        }
         self.epoch = 1
-        self.members = ("a",)
-        self.earlier = ()
-        self.history = []
+        self.members: tuple[str, ...] = ("a",)
+        self.earlier: tuple[leafs.EarlierOwners, ...] = ()
+        self.history: list[_Snapshot] = []
         self._remember()
 
     def _remember(self):
