Use one timer and one generator for each RPC call

Cause: each item of a stream made a timeout context and passed through two async generators. Change: one timer for the call puts the timeout into its queue; stream yields what it receives, and call returns the last of it. Result: tests of rpc, entry and control pass.

--- a/src/sassafrashold/rpc/_client.py
+++ b/src/sassafrashold/rpc/_client.py
@@ -31,6 +31,7 @@
 @dataclasses.dataclass(frozen=True)
 class _Failure:
     error: errors.RpcError
+    is_timeout: bool = False
 
 
 _Event = _Item | _Result | _Failure
@@ -85,17 +86,12 @@
                 run: it was not sent, or the peer said so.
         """
         async with contextlib.aclosing(
-            self._events(method, body, deadline, traceparent)
-        ) as events:
-            async for event in events:
-                match event:
-                    case _Result():
-                        return event.body
-                    case _Item():
-                        continue
-                    case _Failure():
-                        raise event.error
-        raise AssertionError("unreachable: events end with a result")
+            self.stream(
+                method, body, deadline=deadline, traceparent=traceparent
+            )
+        ) as bodies:
+            received = [body async for body in bodies]
+        return received[-1]
 
     async def stream(
         self,
@@ -112,30 +108,6 @@
         Raises:
             RpcError: As in `call`.
         """
-        async with contextlib.aclosing(
-            self._events(method, body, deadline, traceparent)
-        ) as events:
-            async for event in events:
-                match event:
-                    case _Item() | _Result():
-                        yield event.body
-                    case _Failure():
-                        raise event.error
-
-    async def close(self) -> None:
-        """Closes the connection; calls under way fail."""
-        if self._reader_task is not None:
-            self._reader_task.cancel()
-        self._drop_connection("client closed")
-
-    async def _events(
-        self,
-        method: str,
-        body: bytes,
-        deadline: datetime.datetime,
-        traceparent: str | None,
-    ) -> AsyncGenerator[_Event, None]:
-        """Sends a request and yields its events up to the last one."""
         writer = await self._connected(deadline)
         correlation_id = next(self._ids)
         data = _frames.pack(
@@ -151,41 +123,46 @@
         queue: asyncio.Queue[_Event] = asyncio.Queue()
         self._events_by_id[correlation_id] = queue
         finished = False
+        # One timer for the whole call is cheaper than one for each item.
+        remaining = (deadline - self._clock.now()).total_seconds()
+        timer = asyncio.get_running_loop().call_later(
+            max(0.0, remaining), queue.put_nowait, self._timeout(method)
+        )
         try:
             writer.write(data)
             while not finished:
-                event = await self._next_event(queue, deadline, method)
-                # After a local timeout the peer still works: cancel it below.
-                finished = not isinstance(event, _Item) and not (
-                    isinstance(event, _Failure)
-                    and event.error.code is errors.ErrorCode.DEADLINE_EXCEEDED
-                )
-                yield event
-                if isinstance(event, _Failure):
-                    return
+                event = await queue.get()
+                match event:
+                    case _Item():
+                        yield event.body
+                    case _Result():
+                        finished = True
+                        yield event.body
+                    case _Failure():
+                        # After a local timeout the peer still works: cancel it.
+                        finished = not event.is_timeout
+                        raise event.error
         finally:
+            timer.cancel()
             self._events_by_id.pop(correlation_id, None)
             if not finished and writer is self._writer:
                 writer.write(_cancel_frame(correlation_id))
 
-    async def _next_event(
-        self,
-        queue: asyncio.Queue[_Event],
-        deadline: datetime.datetime,
-        method: str,
-    ) -> _Event:
-        remaining = (deadline - self._clock.now()).total_seconds()
-        try:
-            async with asyncio.timeout(max(0.0, remaining)):
-                return await queue.get()
-        except TimeoutError:
-            return _Failure(
-                errors.RpcError(
-                    errors.ErrorCode.DEADLINE_EXCEEDED,
-                    f"no answer to {method} from {self._address} in time",
-                    ran=errors.Ran.OUTCOME_UNKNOWN,
-                )
-            )
+    async def close(self) -> None:
+        """Closes the connection; calls under way fail."""
+        if self._reader_task is not None:
+            self._reader_task.cancel()
+        self._drop_connection("client closed")
+
+    def _timeout(self, method: str) -> _Failure:
+        return _Failure(
+            errors.RpcError(
+                errors.ErrorCode.DEADLINE_EXCEEDED,
+                f"no answer to {method} from {self._address} in time",
+                ran=errors.Ran.OUTCOME_UNKNOWN,
+            ),
+            is_timeout=True,
+        )
 
     async def _connected(
         self, deadline: datetime.datetime
