Make the late answer of the RPC test late for its caller as well

Cause: the server's deadline is in whole milliseconds, so it cancels up to 1 ms before the caller gives up. Change: the handler answers 50 ms after the cancellation. The assertions are the same.

--- a/src/sassafrashold/rpc/tests/test_correlation_and_bad_frames.py
+++ b/src/sassafrashold/rpc/tests/test_correlation_and_bad_frames.py
@@ -49,6 +49,9 @@
     async def slow(context, body):
         with contextlib.suppress(asyncio.CancelledError):
             await asyncio.sleep(0.2)
+        # The server cancels at the deadline, up to 1 ms before the caller
+        # gives up; an answer at once would be in time.
+        await asyncio.sleep(0.05)
         return b"late"
 
     async with _serving(slow=slow, echo=_echo_later) as (_, client):
