Carry trace context without recording spans, and reuse the gather timer

Cause: without a trace file spans were recorded and dropped, and the gather loop set a timer for each event. A test counted the sub-queries of the cancelled first plan to the second query. Change: without a trace file a span carries its context only; the timer is set only when it has to come earlier; the test tells requests apart.

--- a/src/sassafrashold/entry/tests/entry_fakes.py
+++ b/src/sassafrashold/entry/tests/entry_fakes.py
@@ -1,6 +1,7 @@
 """Fakes of owners and of control, and a running daemon."""
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 import datetime
@@ -31,6 +32,7 @@
 
     def __init__(self):
         self.asked = []
+        self.versions_by_request = collections.defaultdict(set)
         self.cancelled = []
         self.answer_by_leaf = {}
         self.server = rpc.Server(
@@ -47,6 +49,8 @@
         )
 
     async def _one(self, context, request, sub):
+        request_id = request.request_id.partition("~")[0]
+        self.versions_by_request[request_id].add(request.index_version)
         self.asked.append((request.index_version, sub.shard, sub.leaf))
         answer = self.answer_by_leaf.get(sub.leaf, rows_of)
         try:
--- a/src/sassafrashold/search/_searcher.py
+++ b/src/sassafrashold/search/_searcher.py
@@ -260,6 +260,8 @@
             searcher._hedging,
         )
         self.rerun = False
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_due = datetime.timedelta()
         self._request = request
         self._started = started
         self._clock = clock
@@ -288,19 +290,10 @@
                 gives up for a rerun; None if there is no other version.
         """
         plan = self.plan
-        timer: asyncio.TimerHandle | None = None
-        loop = asyncio.get_running_loop()
         try:
             self._carry_out(plan.start(self._clock.monotonic()))
             while not plan.finished:
-                if timer is not None:
-                    timer.cancel()
-                wait = plan.next_due() - self._clock.monotonic()
-                timer = loop.call_later(
-                    max(wait.total_seconds(), 0.0),
-                    self._events.put_nowait,
-                    _scatter.Tick(),
-                )
+                self._set_timer()
                 self._take(await self._events.get())
                 while not plan.finished and not self._events.empty():
                     self._take(self._events.get_nowait())
@@ -313,8 +306,8 @@
                 if self.rerun:
                     return
         finally:
-            if timer is not None:
-                timer.cancel()
+            if self._timer is not None:
+                self._timer.cancel()
             late = plan.is_overdue(self._clock.monotonic())
             plan.close(self._clock.monotonic())
             await self._scatter.close(unanswered=late)
@@ -348,6 +341,22 @@
             self.plan.version, coverage, tuple(self.plan.rows())
         )
 
+    def _set_timer(self) -> None:
+        """Makes a tick come when the plan has something to do."""
+        due = self.plan.next_due()
+        if self._timer is not None:
+            # A tick that comes early does nothing but set the next one.
+            if self._timer_due <= due:
+                return
+            self._timer.cancel()
+        wait = due - self._clock.monotonic()
+        self._timer_due = due
+        self._timer = asyncio.get_running_loop().call_later(
+            max(wait.total_seconds(), 0.0),
+            self._events.put_nowait,
+            _scatter.Tick(),
+        )
+
     def _take(self, event: _scatter.Event) -> None:
         now = self._clock.monotonic()
         match event:
@@ -363,6 +372,7 @@
             case _scatter.Failure():
                 step = self.plan.on_failure(event.attempt, event.error, now)
             case _scatter.Tick():
+                self._timer = None
                 step = self.plan.on_time(now)
             case _:
                 typing.assert_never(event)
--- a/src/sassafrashold/telemetry/tracing.py
+++ b/src/sassafrashold/telemetry/tracing.py
@@ -13,6 +13,7 @@
 from opentelemetry.sdk import resources
 from opentelemetry.sdk import trace as sdk_trace
 from opentelemetry.sdk.trace import export
+from opentelemetry.sdk.trace import id_generator
 from opentelemetry.trace.propagation import tracecontext
 
 from sassafrashold.telemetry import _logs
@@ -50,6 +51,8 @@
                 )
             )
         self._provider = provider
+        self._is_exporting = trace_file is not None
+        self._ids = id_generator.RandomIdGenerator()
         self._tracer = provider.get_tracer("sassafrashold")
 
     @contextlib.contextmanager
@@ -71,9 +74,7 @@
             parent = _PROPAGATOR.extract(
                 {"traceparent": traceparent}, context=parent
             )
-        with self._tracer.start_as_current_span(
-            name, context=parent, kind=kind
-        ) as span:
+        with self._started(name, parent, kind) as span:
             trace_id = format(span.get_span_context().trace_id, "032x")
             token = _logs.trace_id_variable.set(trace_id)
             try:
@@ -81,6 +82,30 @@
             finally:
                 _logs.trace_id_variable.reset(token)
 
+    def _started(
+        self, name: str, parent: otel_context.Context, kind: trace.SpanKind
+    ) -> contextlib.AbstractContextManager[trace.Span]:
+        """Starts a span; without an export it carries its context only.
+
+        A span that records costs several times as much, and would be dropped.
+        """
+        if self._is_exporting:
+            return self._tracer.start_as_current_span(
+                name, context=parent, kind=kind
+            )
+        known = trace.get_current_span(parent).get_span_context()
+        span_context = trace.SpanContext(
+            known.trace_id if known.is_valid else self._ids.generate_trace_id(),
+            self._ids.generate_span_id(),
+            is_remote=False,
+            trace_flags=(
+                known.trace_flags
+                if known.is_valid
+                else trace.TraceFlags(trace.TraceFlags.SAMPLED)
+            ),
+        )
+        return trace.use_span(trace.NonRecordingSpan(span_context))
+
     def shutdown(self) -> None:
         """Writes the spans that are still buffered."""
         self._provider.shutdown()
