Bound the owner's work per view change and end it if a leaf task fails

Cause: each view and each poll walked over all leafs, although renewals make several views a second; a failed leaf task would have lost its call count.

--- a/src/sassafrashold/leafs/_state.py
+++ b/src/sassafrashold/leafs/_state.py
@@ -119,6 +119,7 @@
         self.phase = Phase.SERVING
         self.latency = _latency.Latency()
         self.cold_starts = 0
+        self.last_success = datetime.timedelta()
 
     @property
     def limits(self) -> LeafLimits:
@@ -152,8 +153,8 @@
 
     def in_use(self) -> int:
         """Returns the slots that calls use or may still use."""
-        now = self._clock.monotonic()
         if self._held_until:
+            now = self._clock.monotonic()
             self._held_until = [t for t in self._held_until if t > now]
         return len(self._call_by_id) + len(self._held_until)
 
@@ -169,8 +170,7 @@
         Args:
             granted: Slots of the entitlement.
         """
-        now = self._clock.monotonic()
-        if now < self._not_before:
+        if self._not_before and self._clock.monotonic() < self._not_before:
             return 0
         usable = granted
         if self._cold_start:
@@ -300,6 +300,7 @@
             self.phase = Phase.SERVING
             self.become_cold()
         self._backoff = _FIRST_BACKOFF
+        self.last_success = self._clock.monotonic()
 
     def _hold(self, call: Call) -> None:
         self._held_until.append(call.deadline + _entitlement.CLOCK_AGREEMENT)
--- a/src/sassafrashold/owner/_daemon.py
+++ b/src/sassafrashold/owner/_daemon.py
@@ -15,7 +15,7 @@
 from sassafrashold import rpc
 from sassafrashold import views
 from sassafrashold import wire
-from sassafrashold.owner import _leaf_task
+from sassafrashold.owner import _messages
 from sassafrashold.owner import _registry
 from sassafrashold.owner import _rights
 from sassafrashold.owner import _service
@@ -26,6 +26,7 @@
 _LOGGER = logging.getLogger(__name__)
 _POLL_INTERVAL_S = 0.25
 _POLL_TIMEOUT = datetime.timedelta(seconds=1)
+_GAUGE_INTERVAL = datetime.timedelta(seconds=2)
 _DRAIN_CHECK_S = 0.02
 _FINISH_TIME = datetime.timedelta(seconds=3)
 _QUIET_TIME = datetime.timedelta(milliseconds=500)
@@ -58,13 +59,14 @@
         )
         self._pool = rpc.Pool(clock, self._metrics)
         self.registry = _registry.Registry(
-            _leaf_task.Context(
+            _messages.Context(
                 clock,
                 self.rights,
                 lambda: self._feed.current,
                 self._metrics,
                 self._tracer,
                 itertools.count(1),
+                settings.trace_file is not None,
             )
         )
         self._service = _service.Service(
@@ -89,6 +91,7 @@
         self._leaving = False
         self._released_epoch = -1
         self._reported_epoch = -1
+        self._next_gauges = datetime.timedelta()
 
     async def run(self, stopping: asyncio.Event) -> None:
         """Serves until `stopping` is set, then drains."""
@@ -109,12 +112,31 @@
             asyncio.create_task(self._poll()),
         ]
         try:
-            await stopping.wait()
+            await self._until_stopped(stopping)
             await self._drain()
         finally:
             subscription.dispose()
             await self._close(tasks)
 
+    async def _until_stopped(self, stopping: asyncio.Event) -> None:
+        """Waits for the signal.
+
+        Raises:
+            LeaseError: A leaf task failed. Its calls are not counted any more,
+                so the process ends and starts again with a new incarnation.
+        """
+        waits = [
+            asyncio.create_task(event.wait())
+            for event in (stopping, self.registry.failed)
+        ]
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        for wait in waits:
+            wait.cancel()
+        if self.registry.failed.is_set():
+            raise errors.LeaseError(
+                errors.ErrorCode.INTERNAL, "the state of a leaf is lost"
+            )
+
     def _on_view(self, view: views.View) -> None:
         zone_lease = view.lease_by_zone.get(self._settings.zone)
         if zone_lease is not None:
@@ -133,7 +155,9 @@
             except (errors.RpcError, wire.CodecError) as error:
                 self._metrics.count("owner.entitlement_failures")
                 _LOGGER.debug("no entitlement", extra={"error": str(error)})
-            self._report_metrics()
+            if self._clock.monotonic() >= self._next_gauges:
+                self._next_gauges = self._clock.monotonic() + _GAUGE_INTERVAL
+                self._report_metrics()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(_POLL_INTERVAL_S):
                     await self._poll_now.wait()
--- a/src/sassafrashold/owner/_leaf_task.py
+++ b/src/sassafrashold/owner/_leaf_task.py
@@ -1,143 +1,37 @@
 """The task that owns one leaf: its queue, connections and state."""
 
 import asyncio
-from collections.abc import Callable
 from collections.abc import Iterator
-import dataclasses
+import contextlib
 import datetime
 import logging
 import typing
 
 from opentelemetry import trace
 
-from sassafrashold import clock as clock_lib
 from sassafrashold import errors
 from sassafrashold import index
 from sassafrashold import leafs
 from sassafrashold import table
-from sassafrashold import telemetry
-from sassafrashold import views
 from sassafrashold.leafs import client as leaf_client
 from sassafrashold.owner import _gate
-from sassafrashold.owner import _rights
+from sassafrashold.owner import _messages
 from sassafrashold.telemetry import tracing
 
 _LOGGER = logging.getLogger(__name__)
 _TICK_S = 0.02
 _HEALTH_INTERVAL_S = 1.0
-
-
-@dataclasses.dataclass(frozen=True)
-class Origin:
-    """Where a piece of work comes from."""
-
-    request_id: str
-    """Id of the caller's request."""
-
-    traceparent: str | None
-    """W3C trace context."""
-
-    idempotency_key: str = ""
-    """Of a dispatch."""
-
-    claim_id: str = ""
-    """Of a dispatch."""
-
-
-@dataclasses.dataclass(frozen=True)
-class Context:
-    """What all leaf tasks of the process share."""
-
-    clock: clock_lib.Clock
-    """The clock."""
-
-    rights: _rights.Rights
-    """What may be used."""
-
-    view: Callable[[], views.View]
-    """Returns the current view."""
-
-    metrics: telemetry.Metrics
-    """Where to report."""
-
-    tracer: tracing.Tracer
-    """Starts spans."""
-
-    call_ids: Iterator[int]
-    """Numbers of leaf calls."""
-
-
-@dataclasses.dataclass(frozen=True)
-class _Submit:
-    waiter: leafs.Waiter
-
-
-@dataclasses.dataclass(frozen=True)
-class _Cancel:
-    waiter: leafs.Waiter
-
-
-@dataclasses.dataclass(frozen=True)
-class _Succeeded:
-    flight: "_Flight"
-    generation: str
-    value_by_position: dict[int, bytes]
-
-
-@dataclasses.dataclass(frozen=True)
-class _Failed:
-    flight: "_Flight"
-    error: errors.SassafrasError
-    sent: bool = True
-
-
-@dataclasses.dataclass(frozen=True)
-class _Hint:
-    health: leaf_client.Health | None
-
-
-@dataclasses.dataclass(frozen=True)
-class _Tick:
-    pass
-
-
-@dataclasses.dataclass(frozen=True)
-class _Refresh:
-    pass
-
-
-@dataclasses.dataclass(frozen=True)
-class _HealthDue:
-    pass
-
-
-_Message = (
-    _Submit
-    | _Cancel
-    | _Succeeded
-    | _Failed
-    | _Hint
-    | _Tick
-    | _Refresh
-    | _HealthDue
-)
-
-
-class _Flight:
-    """A batch under way."""
-
-    def __init__(self, batch: leafs.Batch, request_id: str) -> None:
-        self.batch = batch
-        self.request_id = request_id
-        self.cancelled = False
-        self.waiters = {w for entry in batch.entries for w in entry.waiters}
+_HEALTH_SILENCE = datetime.timedelta(seconds=1)
 
 
 class LeafTask:
     """Gets messages through a queue; nothing else changes its state."""
 
     def __init__(
-        self, leaf: index.Leaf, row: table.ServiceRow, context: Context
+        self,
+        leaf: index.Leaf,
+        row: table.ServiceRow,
+        context: _messages.Context,
     ) -> None:
         self.leaf = leaf
         self._service = row.service
@@ -146,9 +40,9 @@
         self.aggregate = leafs.Leaf(
             limits, context.clock, cold_start=not context.rights.static
         )
-        self._inbox: asyncio.Queue[_Message] = asyncio.Queue()
+        self._inbox: asyncio.Queue[_messages.Message] = asyncio.Queue()
         self._client = self._new_client()
-        self._flight_by_waiter: dict[leafs.Waiter, _Flight] = {}
+        self._flight_by_waiter: dict[leafs.Waiter, _messages.Flight] = {}
         self._background: set[asyncio.Task[None]] = set()
         self._tick: asyncio.TimerHandle | None = None
         self._health: asyncio.TimerHandle | None = None
@@ -158,15 +52,15 @@
 
     def submit(self, waiter: leafs.Waiter) -> None:
         """Hands over work; its `reply` is called exactly once."""
-        self._inbox.put_nowait(_Submit(waiter))
+        self._inbox.put_nowait(_messages.Submit(waiter))
 
     def cancel(self, waiter: leafs.Waiter) -> None:
         """Tells that nobody waits any more."""
-        self._inbox.put_nowait(_Cancel(waiter))
+        self._inbox.put_nowait(_messages.Cancel(waiter))
 
     def refresh(self) -> None:
         """Tells that the view or the entitlement has changed."""
-        self._inbox.put_nowait(_Refresh())
+        self._inbox.put_nowait(_messages.Refresh())
 
     @property
     def idle(self) -> bool:
@@ -194,13 +88,13 @@
                     timer.cancel()
             await self._client.close()
 
-    def _handle(self, message: _Message) -> None:
+    def _handle(self, message: _messages.Message) -> None:
         match message:
-            case _Submit():
+            case _messages.Submit():
                 self._submit(message.waiter)
-            case _Cancel():
+            case _messages.Cancel():
                 self._cancel(message.waiter)
-            case _Succeeded():
+            case _messages.Succeeded():
                 self._end(message.flight)
                 self._deliver(
                     self.aggregate.succeeded(
@@ -209,16 +103,16 @@
                         message.value_by_position,
                     )
                 )
-            case _Failed():
+            case _messages.Failed():
                 self._end(message.flight)
                 self._deliver(self._fail(message))
-            case _Hint():
+            case _messages.Hint():
                 self._take_hint(message.health)
-            case _Tick():
+            case _messages.Tick():
                 self._tick = None
-            case _Refresh():
+            case _messages.Refresh():
                 pass
-            case _HealthDue():
+            case _messages.HealthDue():
                 self._ask_health()
             case _:
                 typing.assert_never(message)
@@ -260,7 +154,7 @@
     async def _cancel_at_leaf(self, request_id: str) -> None:
         await self._client.cancel(request_id)
 
-    def _fail(self, message: _Failed) -> leafs.Answers:
+    def _fail(self, message: _messages.Failed) -> leafs.Answers:
         batch = message.flight.batch
         answered = message.error.code is errors.ErrorCode.LEAF_FAILED
         if not message.sent or (message.flight.cancelled and answered):
@@ -270,7 +164,7 @@
         )
         return self.aggregate.failed(batch, message.error)
 
-    def _end(self, flight: _Flight) -> None:
+    def _end(self, flight: _messages.Flight) -> None:
         for waiter in flight.waiters:
             self._flight_by_waiter.pop(waiter, None)
 
@@ -292,7 +186,7 @@
             self._start(batch)
         if len(self.aggregate.queue) and self._tick is None:
             self._tick = asyncio.get_running_loop().call_later(
-                self._tick_delay_s(), self._inbox.put_nowait, _Tick()
+                self._tick_delay_s(), self._inbox.put_nowait, _messages.Tick()
             )
 
     def _tick_delay_s(self) -> float:
@@ -352,17 +246,19 @@
     def _start(self, batch: leafs.Batch) -> None:
         number = next(self._context.call_ids)
         request_id = f"{self._context.rights.incarnation}-{number}"
-        flight = _Flight(batch, request_id)
+        flight = _messages.Flight(batch, request_id)
         for waiter in flight.waiters:
             self._flight_by_waiter[waiter] = flight
         self._spawn(self._call(flight))
 
-    async def _call(self, flight: _Flight) -> None:
+    async def _call(self, flight: _messages.Flight) -> None:
         batch = flight.batch
-        origin: Origin = batch.work.detail
+        origin: _messages.Origin = batch.work.detail
         refusal = self._last_check()
         if refusal is not None:
-            self._inbox.put_nowait(_Failed(flight, refusal, sent=False))
+            self._inbox.put_nowait(
+                _messages.Failed(flight, refusal, sent=False)
+            )
             return
         # Reading the wall clock first makes the deadline earlier, never later.
         wall = self._context.clock.now()
@@ -370,21 +266,29 @@
             batch.call.deadline - self._context.clock.monotonic()
         )
         try:
-            with self._context.tracer.span(
-                "owner.leaf_call", origin.traceparent, trace.SpanKind.CLIENT
-            ) as span:
-                header = tracing.header_of(span)
+            with self._span(origin.traceparent) as header:
                 if batch.work.dispatch:
                     message = await self._dispatch(flight, deadline, header)
                 else:
                     message = await self._query(flight, deadline, header)
         except errors.LeafError as error:
-            message = _Failed(flight, error)
+            message = _messages.Failed(flight, error)
         except Exception as error:
             _LOGGER.exception("leaf call failed")
-            message = _Failed(flight, _unexpected(error))
+            message = _messages.Failed(flight, _unexpected(error))
         self._inbox.put_nowait(message)
 
+    @contextlib.contextmanager
+    def _span(self, traceparent: str | None) -> Iterator[str | None]:
+        """Runs a block in a span, if anybody records it."""
+        if not self._context.spans:
+            yield traceparent
+            return
+        with self._context.tracer.span(
+            "owner.leaf_call", traceparent, trace.SpanKind.CLIENT
+        ) as span:
+            yield tracing.header_of(span)
+
     def _last_check(self) -> errors.LeafError | None:
         """Repeats all checks right before the call; it counts as in use."""
         refusal = _gate.refusal(self._context.view(), self.leaf)
@@ -396,8 +300,11 @@
         return None
 
     async def _query(
-        self, flight: _Flight, deadline: datetime.datetime, traceparent: str
-    ) -> _Message:
+        self,
+        flight: _messages.Flight,
+        deadline: datetime.datetime,
+        traceparent: str | None,
+    ) -> _messages.Message:
         batch = flight.batch
         items = [
             leaf_client.Item(
@@ -416,7 +323,7 @@
             traceparent,
         )
         rows = answer.rows_by_id
-        return _Succeeded(
+        return _messages.Succeeded(
             flight,
             answer.generation,
             {
@@ -427,8 +334,11 @@
         )
 
     async def _dispatch(
-        self, flight: _Flight, deadline: datetime.datetime, traceparent: str
-    ) -> _Message:
+        self,
+        flight: _messages.Flight,
+        deadline: datetime.datetime,
+        traceparent: str | None,
+    ) -> _messages.Message:
         work = flight.batch.work
         answer = await self._client.dispatch(
             work.detail.idempotency_key,
@@ -437,21 +347,26 @@
             deadline,
             traceparent,
         )
-        return _Succeeded(flight, answer.generation, {0: answer.result})
+        return _messages.Succeeded(
+            flight, answer.generation, {0: answer.result}
+        )
 
     def _schedule_health(self, delay_s: float) -> None:
         self._health = asyncio.get_running_loop().call_later(
-            delay_s, self._inbox.put_nowait, _HealthDue()
+            delay_s, self._inbox.put_nowait, _messages.HealthDue()
         )
 
     def _ask_health(self) -> None:
-        if self._context.rights.owns(self.leaf):
+        now = self._context.clock.monotonic()
+        recent = now - self.aggregate.state.last_success < _HEALTH_SILENCE
+        # A leaf that answers calls needs no report.
+        if self._context.rights.owns(self.leaf) and not recent:
             self._spawn(self._health_call())
         else:
             self._schedule_health(_HEALTH_INTERVAL_S)
 
     async def _health_call(self) -> None:
-        self._inbox.put_nowait(_Hint(await self._client.health()))
+        self._inbox.put_nowait(_messages.Hint(await self._client.health()))
 
     def _take_hint(self, health: leaf_client.Health | None) -> None:
         self._schedule_health(_HEALTH_INTERVAL_S)
--- a/src/sassafrashold/owner/_rights.py
+++ b/src/sassafrashold/owner/_rights.py
@@ -104,6 +104,8 @@
 
     def on_lease(self, zone_lease: lease.ZoneLease) -> None:
         """Takes over the epoch of a lease document, if it is newer."""
+        if zone_lease.epoch <= self.entitlement.epoch:
+            return
         host = self.entitlement.host
         member = zone_lease.member_by_host.get(host)
         report = leafs.Report(
--- a/src/sassafrashold/owner/_service.py
+++ b/src/sassafrashold/owner/_service.py
@@ -19,6 +19,7 @@
 from sassafrashold import views
 from sassafrashold import wire
 from sassafrashold.owner import _leaf_task
+from sassafrashold.owner import _messages
 from sassafrashold.owner import _registry
 from sassafrashold.owner import _rights
 from sassafrashold.owner import _router
@@ -134,7 +135,7 @@
             self.priority_class(request.service_name, ""),
             self.deadline(context, request.service_name),
             dispatch=True,
-            detail=_leaf_task.Origin(
+            detail=_messages.Origin(
                 request.request_id,
                 traceparent,
                 request.idempotency_key,
@@ -245,20 +246,33 @@
         try:
             self._distribute()
             for _ in self._request.subqueries:
-                event = await self._events.get()
-                await self._context.emit(_encode_event(event))
+                await self._emit(await self._events.get())
         finally:
             for waiter, task in self._open.items():
                 task.cancel(waiter)
             for forward in self._forwards:
                 forward.cancel()
 
+    async def _emit(self, event: _Event) -> None:
+        try:
+            await self._context.emit(_encode_event(event))
+        except errors.RpcError as error:
+            # The result is too large for a frame. The sub-query has run.
+            if not isinstance(event, _Answered):
+                raise
+            failure = errors.RpcError(
+                error.code, error.message, ran=errors.Ran.OUTCOME_UNKNOWN
+            )
+            await self._context.emit(
+                _encode_event(_Answered(event.subquery, failure))
+            )
+
     def _distribute(self) -> None:
         request = self._request
         priority_class = self._service.priority_class(
             request.service_name, request.priority_class
         )
-        origin = _leaf_task.Origin(request.request_id, self._traceparent)
+        origin = _messages.Origin(request.request_id, self._traceparent)
         by_owner: dict[settings.Address, list[Any]] = {}
         for subquery in request.subqueries:
             route = self._service.route(
@@ -283,7 +297,7 @@
         subquery: Any,
         here: _router.Here,
         priority_class: str,
-        origin: _leaf_task.Origin,
+        origin: _messages.Origin,
     ) -> None:
         request = self._request
         task = self._service.task(request.service_name, here)
--- a/src/sassafrashold/owner/tests/conftest.py
+++ b/src/sassafrashold/owner/tests/conftest.py
@@ -37,7 +37,7 @@
         self.delay_s = 0.0
 
     async def start(self):
-        app = web.Application()
+        app = web.Application(client_max_size=2**23)
         app.router.add_post("/v1/query", self._query)
         app.router.add_post("/v1/dispatch", self._dispatch)
         app.router.add_delete("/v1/requests/{id}", self._cancel)
@@ -168,6 +168,7 @@
         self.control = FakeControl()
         self.leaf = FakeLeaf()
         self.stopping = asyncio.Event()
+        self.static_share_slots = 0
 
     async def start(self, *, shards=4, marks=None, **cells):
         await self.leaf.start()
@@ -205,17 +206,23 @@
                 listen=ANY_PORT,
                 control=self.control.address,
                 drain_ms=1500,
+                static_share_slots=self.static_share_slots,
             ),
             CLOCK,
         )
         self.running = asyncio.create_task(self.daemon.run(self.stopping))
-        await self.until(lambda: "leaf-1" in self.daemon.registry.task_by_leaf)
+        await self.until(self._ready)
         self.client = rpc.Client(self.daemon.address, CLOCK)
 
+    def _ready(self):
+        if self.static_share_slots:
+            return self.daemon.registry._known_leafs
+        return "leaf-1" in self.daemon.registry.task_by_leaf
+
     async def close(self):
         await self.client.close()
         self.running.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
+        with contextlib.suppress(asyncio.CancelledError, errors.LeaseError):
             await self.running
         await self.control.close()
         await self.leaf.close()
--- a/src/sassafrashold/owner/tests/test_owner_serves_only_what_it_may.py
+++ b/src/sassafrashold/owner/tests/test_owner_serves_only_what_it_may.py
@@ -1,9 +1,11 @@
 """Guards ownership, marks, forwarding, dispatches and draining."""
 
 import asyncio
+import json
 
 import pytest
 
+from sassafrashold import errors
 from sassafrashold import rpc
 from sassafrashold import settings
 from sassafrashold import wire
@@ -234,3 +236,55 @@
     async with asyncio.timeout(5):
         await setup.running
     assert requests[-1].released_epoch == 2
+
+
+async def test_a_static_share_needs_neither_lease_nor_warm_up(setup):
+    setup.control.members = ()
+    setup.static_share_slots = 2
+    await setup.start()
+    setup.leaf.delay_s = 0.005
+    queries = [setup.scatter(ONE, query=b"%d" % i) for i in range(30)]
+    answers = await asyncio.gather(*queries)
+    assert answers == [[(0, [0, i])] for i in range(30)]
+    assert setup.leaf.most_at_once == 2
+
+
+async def test_a_result_too_large_for_a_frame_is_not_called_not_run(setup):
+    await setup.start()
+    query = b'"%s"' % (b"x" * (rpc.MAX_FRAME_BYTES - 500))
+    answers = await setup.scatter(ONE, query=query)
+    assert answers == [(0, "FRAME_TOO_LARGE", UNKNOWN)]
+
+
+async def test_a_malformed_query_is_refused_before_it_reaches_a_leaf(setup):
+    await setup.start()
+    with pytest.raises(errors.RpcError, match="BAD_REQUEST") as caught:
+        await setup.scatter(ONE, query=b'{"q":1},"shard":[')
+    assert caught.value.ran is errors.Ran.NOT_RUN
+    assert setup.leaf.calls == []
+
+
+async def test_status_states_facts_with_age_and_source(setup):
+    await setup.start()
+    await setup.warm()
+    answer = await setup.client.call("status", b"", deadline=setup.deadline())
+    reply = wire.decode(wire.messages.StatusReply, answer)
+    facts = {
+        (fact["name"], fact["subject"]): fact
+        for fact in json.loads(reply.value)
+    }
+    assert facts[("lease.epoch", "zone-a")]["value"] == 1
+    assert facts[("lease.epoch", "zone-a")]["source"] == "control"
+    assert facts[("lease.epoch", "zone-a")]["age_ms"] < 3000
+    assert facts[("leaf.window", "leaf-1")]["value"] == 3
+    assert facts[("leaf.slots_granted", "leaf-1")]["value"] == 3
+    assert ("view.version", "config/table") in facts
+
+
+async def test_the_process_ends_if_a_leaf_task_fails(setup, monkeypatch):
+    await setup.start()
+    task = setup.daemon.registry.task_by_leaf["leaf-1"]
+    monkeypatch.setattr(task.aggregate, "drop_late", lambda: 1 / 0)
+    task.refresh()
+    with pytest.raises(errors.LeaseError):
+        await asyncio.wait_for(setup.running, 5)
