--- a/src/sassafrashold/owner/tests/conftest.py
+++ b/src/sassafrashold/owner/tests/conftest.py
@@ -35,9 +35,10 @@
         self.gate = asyncio.Event()
         self.gate.set()
         self.delay_s = 0.0
+        self.repeat = 1
 
     async def start(self):
-        app = web.Application(client_max_size=2**23)
+        app = web.Application(client_max_size=rpc.MAX_FRAME_BYTES)
         app.router.add_post("/v1/query", self._query)
         app.router.add_post("/v1/dispatch", self._dispatch)
         app.router.add_delete("/v1/requests/{id}", self._cancel)
@@ -76,7 +77,10 @@
                 "index_version": body["index_version"],
                 "generation": self.generation,
                 "items": [
-                    {"id": item["id"], "rows": [item["shard"], item["query"]]}
+                    {
+                        "id": item["id"],
+                        "rows": [item["shard"], item["query"]] * self.repeat,
+                    }
                     for item in body["items"]
                 ],
             }
--- a/src/sassafrashold/owner/tests/test_owner_serves_only_what_it_may.py
+++ b/src/sassafrashold/owner/tests/test_owner_serves_only_what_it_may.py
@@ -251,7 +251,8 @@
 
 async def test_a_result_too_large_for_a_frame_is_not_called_not_run(setup):
     await setup.start()
-    query = b'"%s"' % (b"x" * (rpc.MAX_FRAME_BYTES - 500))
+    setup.leaf.repeat = 5
+    query = b'"%s"' % (b"x" * (rpc.MAX_FRAME_BYTES // 4))
     answers = await setup.scatter(ONE, query=query)
     assert answers == [(0, "FRAME_TOO_LARGE", UNKNOWN)]
 
