Take a jump in failed leaf calls as a sign of a cold leaf

Cause: a trial with stand-in leafs that turned cold without a restart had 54 calls above the cold bound on 7 leafs; overloaded cold leafs failed calls with 500, which was not taken as a sign. Change: two failed or shed calls among the last 20 put the window back to the cold-start bound. Result: tests of leafs pass.

--- a/src/sassafrashold/leafs/_state.py
+++ b/src/sassafrashold/leafs/_state.py
@@ -12,7 +12,11 @@
 from sassafrashold.leafs import _latency
 
 _RECENT_CALLS = 20
-_SHED_JUMP = 2
+_TROUBLE_JUMP = 2
+# An overloaded cold leaf sheds calls or fails them.
+_TROUBLES = frozenset(
+    {errors.ErrorCode.LEAF_SHED, errors.ErrorCode.LEAF_FAILED}
+)
 _TIMEOUTS_UNTIL_UNREACHABLE = 2
 _TELLING_TIMEOUT = datetime.timedelta(milliseconds=500)
 _FIRST_BACKOFF = datetime.timedelta(milliseconds=100)
@@ -105,7 +109,7 @@
         self._window = limits.cold_start_slots
         self._successes = 0
         self._timeouts = 0
-        self._sheds: collections.deque[bool] = collections.deque(
+        self._troubles: collections.deque[bool] = collections.deque(
             maxlen=_RECENT_CALLS
         )
         self._call_by_id: dict[int, Call] = {}
@@ -213,7 +217,7 @@
         del self._call_by_id[call.call_id]
         now = self._clock.monotonic()
         self._timeouts = 0
-        self._sheds.append(False)
+        self._troubles.append(False)
         self._set_serving()
         if self._is_new_generation(call, generation):
             # The process that worked for the held calls has ended.
@@ -232,10 +236,12 @@
         """Records a call that ended without a result."""
         del self._call_by_id[call.call_id]
         self._successes = 0
-        self._sheds.append(error.code is errors.ErrorCode.LEAF_SHED)
+        self._troubles.append(error.code in _TROUBLES)
         match error.code:
             case errors.ErrorCode.LEAF_SHED:
                 self._record_shed(error)
+            case errors.ErrorCode.LEAF_FAILED:
+                self._check_troubles()
             case errors.ErrorCode.DRAINING:
                 self._back_off(Phase.DRAINING)
             case errors.ErrorCode.LEAF_UNREACHABLE:
@@ -271,7 +277,7 @@
         """Puts the window back to the cold-start bound."""
         self._window = self._limits.cold_start_slots
         self._successes = 0
-        self._sheds.clear()
+        self._troubles.clear()
         self.latency = _latency.Latency()
         self.cold_starts += 1
 
@@ -315,7 +321,11 @@
         self._not_before = max(
             self._not_before, self._clock.monotonic() + pause
         )
-        if sum(self._sheds) >= _SHED_JUMP:
+        self._check_troubles()
+
+    def _check_troubles(self) -> None:
+        """Takes a jump in refusals or failures as a sign of a cold leaf."""
+        if sum(self._troubles) >= _TROUBLE_JUMP:
             self.become_cold()
 
     def _record_timeout(self, call: Call) -> None:
--- a/src/sassafrashold/leafs/tests/test_leaf_adapts_to_load_and_faults.py
+++ b/src/sassafrashold/leafs/tests/test_leaf_adapts_to_load_and_faults.py
@@ -141,11 +141,16 @@
     bench.leaf.failed(bench.start(), RESET)
 
 
-def _sheds(bench):
-    for shard in range(2):
+def _fail(bench, code, calls):
+    for shard in range(calls):
         bench.submit(shard)
-        error = errors.LeafError(errors.ErrorCode.LEAF_SHED, "shed")
-        bench.leaf.failed(bench.start(), error)
+        bench.leaf.failed(bench.start(), errors.LeafError(code, "failed"))
+
+
+def _spread_failures(bench):
+    for _ in range(3):
+        _fail(bench, errors.ErrorCode.LEAF_FAILED, 1)
+        bench.warm(calls=20)
 
 
 @pytest.mark.parametrize(
@@ -156,7 +161,10 @@
         (lambda bench: bench.run(100), False),
         (lambda bench: [bench.run(14) for _ in range(5)], False),
         (_reset, True),
-        (_sheds, True),
+        (lambda bench: _fail(bench, errors.ErrorCode.LEAF_SHED, 2), True),
+        (lambda bench: _fail(bench, errors.ErrorCode.LEAF_FAILED, 2), True),
+        (lambda bench: _fail(bench, errors.ErrorCode.VERSION_GONE, 5), False),
+        (_spread_failures, False),
         (lambda bench: bench.leaf.state.hint("2", False), True),
         (lambda bench: bench.leaf.state.hint("1", False), False),
     ],
