Avoid zones without a known owner, and wait for other zones at start

Cause: with the real owner and control, an entry that had just started was ready before it knew the leases of other zones, and its first query spent its deadline on leafs without a known owner (980 ms, partial). Back-off after moving ownership grew like that after failures. Hedges after 20 ms without any sample were too early for leafs that take 30 ms.

--- a/src/sassafrashold/entry/_daemon.py
+++ b/src/sassafrashold/entry/_daemon.py
@@ -82,7 +82,7 @@
             hedging=values.hedging,
         )
         self._recent = _recent.RecentRequests()
-        self._readiness = _readiness.Readiness(self.feed)
+        self._readiness = _readiness.Readiness(self.feed, values.zone, clock)
         self._status = _status.Status(
             values.host,
             self.feed,
--- a/src/sassafrashold/entry/_sender.py
+++ b/src/sassafrashold/entry/_sender.py
@@ -207,7 +207,7 @@
                     raise error
                 self._searcher.tracker.leaf_failed(replica.leaf_id, now)
             case search.Reaction.REPEAT:
-                self._searcher.tracker.leaf_failed(replica.leaf_id, now)
+                self._searcher.tracker.leaf_moving(replica.leaf_id, now)
         delay = search.retry_delay(sent - 1, self._random)
         if self._clock.now() + delay >= call.deadline:
             raise error
--- a/src/sassafrashold/search/_failures.py
+++ b/src/sassafrashold/search/_failures.py
@@ -48,16 +48,20 @@
         errors.ErrorCode.BODY_TOO_LARGE,
     }
 )
+_MOVING = frozenset(
+    {
+        errors.ErrorCode.NO_ENTITLEMENT,
+        errors.ErrorCode.NOT_OWNER,
+        errors.ErrorCode.DRAINING,
+    }
+)
 _LEAF_FAULTS = frozenset(
     {
         errors.ErrorCode.LEAF_FAILED,
         errors.ErrorCode.LEAF_UNREACHABLE,
         errors.ErrorCode.LEAF_SHED,
         errors.ErrorCode.VERSION_MISMATCH,
-        errors.ErrorCode.NO_ENTITLEMENT,
-        errors.ErrorCode.NOT_OWNER,
         errors.ErrorCode.OVERLOADED,
-        errors.ErrorCode.DRAINING,
     }
 )
 
@@ -73,6 +77,11 @@
     return Reaction.PAY
 
 
+def is_moving(error: errors.SassafrasError) -> bool:
+    """Returns whether the ownership of the leaf is moving."""
+    return error.code in _MOVING
+
+
 def is_leaf_fault(error: errors.SassafrasError) -> bool:
     """Returns whether other queries should avoid the leaf for a while."""
     return error.code in _LEAF_FAULTS
--- a/src/sassafrashold/search/_leafs.py
+++ b/src/sassafrashold/search/_leafs.py
@@ -14,7 +14,7 @@
 _MICROSECOND = datetime.timedelta(microseconds=1)
 HEDGE_DELAY_MIN = datetime.timedelta(milliseconds=2)
 # Used until a leaf has enough samples for a quantile of its own.
-HEDGE_DELAY_UNKNOWN = datetime.timedelta(milliseconds=20)
+HEDGE_DELAY_UNKNOWN = datetime.timedelta(milliseconds=100)
 
 _HEDGE_PERCENTILE = 95
 
@@ -33,6 +33,7 @@
 _BACKOFF_MAX = datetime.timedelta(seconds=5)
 _BACKOFF_MAX_DOUBLINGS = 6
 _BUSY_FOR = datetime.timedelta(milliseconds=50)
+_MOVING_FOR = datetime.timedelta(milliseconds=50)
 _GONE_FOR = datetime.timedelta(seconds=10)
 
 
@@ -165,6 +166,10 @@
         """Records a failed call of a leaf."""
         self.leaf(leaf_id).backoff.fail(now, self._random)
 
+    def leaf_moving(self, leaf_id: str, now: datetime.timedelta) -> None:
+        """Records that the ownership of a leaf is moving; a short matter."""
+        self.leaf(leaf_id).backoff.avoid_for(now, _MOVING_FOR)
+
     def leaf_busy(self, leaf_id: str, now: datetime.timedelta) -> None:
         """Records that a leaf refused an extra call as busy or cold."""
         self.leaf(leaf_id).busy_until = now + _BUSY_FOR
--- a/src/sassafrashold/search/_plan.py
+++ b/src/sassafrashold/search/_plan.py
@@ -391,6 +391,8 @@
             self._tracker.leaf_busy(leaf_id, now)
         elif error.code is errors.ErrorCode.VERSION_GONE:
             self._tracker.version_gone(leaf_id, self.version, now)
+        elif _failures.is_moving(error):
+            self._tracker.leaf_moving(leaf_id, now)
         elif error.retry_after is not None:
             attempt.replica.record.backoff.avoid_for(now, error.retry_after)
         elif _failures.is_leaf_fault(error):
--- a/src/sassafrashold/search/_replicas.py
+++ b/src/sassafrashold/search/_replicas.py
@@ -25,7 +25,7 @@
         tracker: _leafs.LeafTracker,
         random_source: random.Random,
         owner_of: Callable[[_topology.Replica], settings.Address | None],
-        unreachable_zones: frozenset[str] = frozenset(),
+        reachable_zones: frozenset[str] | None = None,
     ) -> None:
         """Initializes the chooser for one query.
 
@@ -33,12 +33,13 @@
             tracker: What this process has seen of leafs and owners.
             random_source: Source of the weighted choice.
             owner_of: Returns the address to which a sub-query would be sent.
-            unreachable_zones: Zones to avoid.
+            reachable_zones: Zones whose owners are known and can be reached;
+                others are avoided. None means all.
         """
         self._tracker = tracker
         self._random = random_source
         self._owner_of = owner_of
-        self._zones = unreachable_zones
+        self._zones = reachable_zones
         self._check_owners = tracker.has_unreachable_owners()
 
     def primary(
@@ -108,7 +109,7 @@
     ) -> bool:
         if replica.record.backoff.is_active(now):
             return False
-        if replica.zone in self._zones:
+        if self._zones is not None and replica.zone not in self._zones:
             return False
         if not self._check_owners:
             return True
--- a/src/sassafrashold/search/_searcher.py
+++ b/src/sassafrashold/search/_searcher.py
@@ -113,7 +113,7 @@
             self.tracker,
             self._random,
             lambda replica: self._address(replica, request_id),
-            _topology.unreachable_zones(
+            _topology.reachable_zones(
                 self._view().lease_by_zone,
                 self.tracker,
                 self._clock.monotonic(),
--- a/src/sassafrashold/search/_topology.py
+++ b/src/sassafrashold/search/_topology.py
@@ -178,27 +178,29 @@
         return owners[leaf_id]
 
 
-def unreachable_zones(
+def reachable_zones(
     lease_by_zone: Mapping[str, lease.ZoneLease],
     tracker: _leafs.LeafTracker,
     now: datetime.timedelta,
 ) -> frozenset[str]:
-    """Returns the zones of which all, or two and half, owners are unreachable.
+    """Returns the zones that have owners which can be reached.
 
+    A zone counts as unreachable when all, or two and half, of its owners are.
     Half is enough, because in a partition each owner costs a connect timeout
     before it is known to be unreachable.
     """
-    if not tracker.has_unreachable_owners():
-        return frozenset()
-    zones = set()
-    for zone, zone_lease in lease_by_zone.items():
-        avoided = sum(
-            tracker.is_owner_avoided(member.owner, now)
-            for member in zone_lease.members
-        )
-        members = len(zone_lease.members)
-        if avoided and (avoided == members or avoided >= max(2, members / 2)):
-            zones.add(zone)
+    zones = {
+        zone for zone, zone_lease in lease_by_zone.items() if zone_lease.members
+    }
+    if tracker.has_unreachable_owners():
+        for zone in list(zones):
+            members = lease_by_zone[zone].members
+            avoided = sum(
+                tracker.is_owner_avoided(member.owner, now)
+                for member in members
+            )
+            if avoided == len(members) or avoided >= max(2, len(members) / 2):
+                zones.remove(zone)
     return frozenset(zones)
 
 
