--- /dev/null
+++ b/src/sassafrashold/dispatch/tests/test_a_dispatch_runs_at_most_once.py
@@ -0,0 +1,364 @@
+import asyncio
+import datetime
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from sassafrashold import clock as clock_lib
+from sassafrashold import dispatch
+from sassafrashold import errors
+from sassafrashold import platform
+from sassafrashold.platform.tests import stepped_store
+
+_CLOCK = clock_lib.ManualClock()
+_ZERO = datetime.timedelta()
+_NO_DELAY = platform.Backoff(attempts=3, base=_ZERO)
+_DEADLINE = _CLOCK.now() + datetime.timedelta(minutes=1)
+_KEY = dispatch.claim_key("s", "k")
+_FAULTS = strategies.one_of(
+    strategies.just(platform.Fault.NONE),
+    strategies.sampled_from(platform.Fault),
+)
+
+
+class _Attempt:
+    """One request of the caller, served by one host."""
+
+    def __init__(self, claim_id, host, body):
+        self.claim_id = claim_id
+        self.host = host
+        self.body = body
+        self.has_run = False
+        self.answer = None
+        self.task = None
+
+    @property
+    def is_waiting(self):
+        """Whether the request was sent and the leaf has not answered."""
+        return self.answer is not None and not self.answer.done()
+
+    async def send(self, claim_id):
+        assert claim_id == self.claim_id
+        self.answer = asyncio.Future()
+        ran, error_ran = await self.answer
+        self.has_run = ran
+        if error_ran is not None:
+            raise errors.RpcError(
+                errors.ErrorCode.LEAF_FAILED, "", ran=error_ran
+            )
+        return b"result of " + claim_id.encode()
+
+
+class ManyHosts(stateful.RuleBasedStateMachine):
+    """Hosts that share a store, with faults and deaths at each step."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop = stepped_store.Loop()
+        self.shared = platform.MemoryStore()
+        self.hosts = []
+        self.attempts = []
+        self.dead = set()
+        for number in range(3):
+            self._start_host(number)
+
+    def _start_host(self, number):
+        store = stepped_store.SteppedStore(self.shared)
+        dispatcher = dispatch.Dispatcher(
+            store,
+            f"h{number}",
+            _CLOCK,
+            new_id=self._next_claim_id,
+            resolution=_NO_DELAY,
+            recording=_NO_DELAY,
+            record_wait=_ZERO,
+        )
+        self.hosts.append((store, dispatcher))
+
+    def _next_claim_id(self):
+        return f"claim-{len(self.attempts)}"
+
+    @stateful.rule(
+        number=strategies.integers(0, 2),
+        body=strategies.sampled_from([b"a", b"a", b"a", b"b"]),
+    )
+    def request(self, number, body):
+        _, dispatcher = self.hosts[number]
+        attempt = _Attempt(self._next_claim_id(), dispatcher, body)
+        attempt.task = self.loop.start(
+            dispatcher.run("s", "k", body, _DEADLINE, attempt.send)
+        )
+        self.attempts.append(attempt)
+
+    @stateful.rule(
+        number=strategies.integers(0, 2),
+        position=strategies.integers(0, 3),
+        fault=_FAULTS,
+    )
+    def let_a_call_through(self, number, position, fault):
+        store, _ = self.hosts[number]
+        if store.waiting:
+            store.release(position % store.waiting, fault)
+            self.loop.settle()
+
+    @stateful.rule(
+        number=strategies.integers(0, 20),
+        answer=strategies.sampled_from(
+            [
+                (True, None),
+                (True, None),
+                (True, errors.Ran.OUTCOME_UNKNOWN),
+                (False, errors.Ran.OUTCOME_UNKNOWN),
+                (False, errors.Ran.NOT_RUN),
+            ]
+        ),
+    )
+    def answer_a_send(self, number, answer):
+        sent = [attempt for attempt in self.attempts if attempt.is_waiting]
+        if sent:
+            sent[number % len(sent)].answer.set_result(answer)
+            self.loop.settle()
+
+    @stateful.rule()
+    def deliver_delayed(self):
+        self.loop.run(self.shared.deliver_delayed())
+
+    @stateful.rule(
+        number=strategies.integers(0, 2),
+        is_applied=strategies.booleans(),
+        has_run=strategies.booleans(),
+    )
+    def kill_host(self, number, is_applied, has_run):
+        """The host's writes may still take effect, and its sends may run."""
+        store, dispatcher = self.hosts.pop(number)
+        for attempt in self.attempts:
+            if attempt.host is dispatcher:
+                self.dead.add(attempt)
+                if attempt.is_waiting:
+                    attempt.has_run = has_run
+        self._start_host(number)
+        self.hosts.insert(number, self.hosts.pop())
+        if is_applied and store.waiting:
+            store.release(0, platform.Fault.LOST_ANSWER)
+            self.loop.settle()
+
+    @stateful.invariant()
+    def runs_at_most_once(self):
+        assert sum(attempt.has_run for attempt in self.attempts) <= 1
+        waiting = [
+            attempt
+            for attempt in self.attempts
+            if attempt.is_waiting and attempt not in self.dead
+        ]
+        assert len(waiting) <= 1
+
+    @stateful.invariant()
+    def answers_are_true(self):
+        for attempt in self.attempts:
+            if attempt in self.dead or not attempt.task.done():
+                continue
+            error = attempt.task.exception()
+            if error is None:
+                self._check_result(attempt)
+            elif error.ran is errors.Ran.NOT_RUN:
+                assert not attempt.has_run
+                assert not attempt.is_waiting
+
+    def _check_result(self, attempt):
+        outcome = attempt.task.result()
+        (ran,) = [found for found in self.attempts if found.has_run]
+        assert outcome.result == b"result of " + ran.claim_id.encode()
+        assert ran.body == attempt.body
+        assert outcome.replayed == (ran is not attempt)
+
+    def teardown(self):
+        while self._finish_a_step():
+            self.loop.settle()
+        self.loop.run(self.shared.deliver_delayed())
+        try:
+            self.runs_at_most_once()
+            self.answers_are_true()
+            self._check_records()
+        finally:
+            self.loop.close()
+
+    def _finish_a_step(self):
+        """Lets one step of a living host succeed; returns whether it did."""
+        for attempt in self.attempts:
+            if attempt.is_waiting and attempt not in self.dead:
+                attempt.answer.set_result((True, None))
+                return True
+        for store, _ in self.hosts:
+            if store.waiting:
+                store.release(0, platform.Fault.NONE)
+                return True
+        return False
+
+    def _check_records(self):
+        """A host that lives leaves no claim that blocks retries needlessly."""
+        stored = self.shared.current(_KEY)
+        if stored is None:
+            return
+        claim = dispatch.Claim.decode(_KEY, stored.value)
+        for attempt in self.attempts:
+            if attempt in self.dead or attempt.claim_id != claim.claim_id:
+                continue
+            error = attempt.task.exception()
+            if error is None:
+                assert claim.state is dispatch.ClaimState.DONE
+            elif error.ran is errors.Ran.NOT_RUN:
+                assert claim.state is dispatch.ClaimState.RELEASED
+
+
+ManyHosts.TestCase.settings = hypothesis.settings(
+    max_examples=300, stateful_step_count=40, deadline=None
+)
+test_many_hosts = ManyHosts.TestCase
+
+
+def _dispatcher(store, host="h"):
+    return dispatch.Dispatcher(
+        store, host, _CLOCK, resolution=_NO_DELAY, recording=_NO_DELAY
+    )
+
+
+def _sending(log, result=b"r", ran=None):
+    async def send(claim_id):
+        log.append(claim_id)
+        if ran is not None:
+            raise errors.LeafError(errors.ErrorCode.LEAF_SHED, "", ran=ran)
+        return result
+
+    return send
+
+
+async def _run(store, send, body=b"b", key="k", deadline=_DEADLINE):
+    try:
+        return await _dispatcher(store).run("s", key, body, deadline, send)
+    except errors.DispatchError as error:
+        return error.code, error.ran
+
+
+_UNKNOWN = (errors.ErrorCode.OUTCOME_UNKNOWN, errors.Ran.OUTCOME_UNKNOWN)
+
+
+def _not_run(name):
+    return errors.ErrorCode[name], errors.Ran.NOT_RUN
+
+
+@pytest.mark.parametrize(
+    ("ran", "body", "first", "second", "sends", "writes"),
+    [
+        (
+            None,
+            b"b",
+            dispatch.Outcome(b"r", False),
+            dispatch.Outcome(b"r", True),
+            1,
+            3,
+        ),
+        (
+            None,
+            b"other",
+            dispatch.Outcome(b"r", False),
+            _not_run("KEY_REUSED"),
+            1,
+            3,
+        ),
+        (errors.Ran.OUTCOME_UNKNOWN, b"b", _UNKNOWN, _UNKNOWN, 1, 2),
+        (
+            errors.Ran.NOT_RUN,
+            b"b",
+            _not_run("LEAF_SHED"),
+            _not_run("LEAF_SHED"),
+            2,
+            5,
+        ),
+    ],
+)
+async def test_a_retry_on_another_host_gets_what_is_known(
+    ran, body, first, second, sends, writes
+):
+    store = platform.MemoryStore()
+    log: list[str] = []
+    assert await _run(store, _sending(log, ran=ran)) == first
+    assert await _run(store, _sending(log, ran=ran), body) == second
+    assert len(log) == sends
+    assert store.calls["put"] == writes
+
+
+async def test_nothing_is_sent_while_the_store_is_down_or_after_the_deadline():
+    store = platform.MemoryStore()
+    log: list[str] = []
+    store.down = True
+    assert await _run(store, _sending(log)) == _not_run("STORE_UNAVAILABLE")
+    store.down = False
+    assert await _run(store, _sending(log), deadline=_CLOCK.now()) == _not_run(
+        "DEADLINE_EXCEEDED"
+    )
+    assert log == []
+    assert await store.list("") == {}
+
+
+async def test_the_result_reaches_the_caller_and_later_the_record():
+    store = platform.MemoryStore()
+    log: list[str] = []
+    dispatcher = _dispatcher(store)
+
+    async def send(claim_id):
+        store.faults.extend([platform.Fault.DOWN, platform.Fault.LOST_ANSWER])
+        return await _sending(log)(claim_id)
+
+    outcome = await dispatcher.run("s", "k", b"b", _DEADLINE, send)
+    assert outcome == dispatch.Outcome(b"r", False)
+    assert await dispatcher.drain(datetime.timedelta(seconds=5)) == 0
+    assert await _run(store, send) == dispatch.Outcome(b"r", True)
+    assert len(log) == 1
+
+
+async def test_a_result_too_large_to_keep_never_becomes_not_run():
+    store = platform.MemoryStore()
+    log: list[str] = []
+    large = b"x" * (dispatch.MAX_RESULT_BYTES + 1)
+    assert await _run(store, _sending(log, large)) == dispatch.Outcome(
+        large, False
+    )
+    assert await _run(store, _sending(log)) == _UNKNOWN
+    assert len(log) == 1
+
+
+@pytest.mark.parametrize(
+    ("key", "expected"),
+    [
+        ("", _not_run("KEY_MISSING")),
+        ("a b", _not_run("BAD_REQUEST")),
+        ("ü", _not_run("BAD_REQUEST")),
+        ("x" * 129, _not_run("BAD_REQUEST")),
+        ("a\n", _not_run("BAD_REQUEST")),
+        ("../a%2F?#" + "/" * 100, dispatch.Outcome(b"r", False)),
+        ("..", dispatch.Outcome(b"r", False)),
+    ],
+)
+async def test_odd_keys_are_refused_or_kept_apart(key, expected):
+    store = platform.MemoryStore()
+    assert await _run(store, _sending([]), key=key) == expected
+    stored = list(await store.list("claims/s/"))
+    assert len(stored) == isinstance(expected, dispatch.Outcome)
+    assert all(found.count("/") == 2 and "." not in found for found in stored)
+
+
+async def test_only_claims_older_than_a_day_are_deleted():
+    store, clock = platform.MemoryStore(), clock_lib.ManualClock()
+    for number in range(4):
+        dispatcher = dispatch.Dispatcher(store, "h", clock)
+        deadline = clock.now() + datetime.timedelta(minutes=1)
+        await dispatcher.run("s", str(number), b"", deadline, _sending([]))
+        clock.advance(datetime.timedelta(hours=8))
+    first = await dispatch.delete_expired(store, clock, limit=3)
+    assert first == dispatch.Cleanup(3, 2, "claims/s/3")
+    assert await dispatch.delete_expired(
+        store, clock, start_key="claims/s/3"
+    ) == dispatch.Cleanup(1, 0, None)
+    assert list(await store.list("")) == ["claims/s/2", "claims/s/3"]
--- a/src/sassafrashold/platform/_memory.py
+++ b/src/sassafrashold/platform/_memory.py
@@ -119,7 +119,8 @@
 
     async def deliver_delayed(self) -> None:
         """Lets the delayed writes reach the store."""
-        delayed, self._delayed = self._delayed, []
+        delayed = list(self._delayed)
+        self._delayed.clear()
         for key, value, expected_version in delayed:
             if self._version(key) == expected_version:
                 await self._apply(key, value)
--- a/src/sassafrashold/platform/tests/stepped_store.py
+++ b/src/sassafrashold/platform/tests/stepped_store.py
@@ -1,6 +1,7 @@
 """A store whose calls a test lets through one by one; for interleavings."""
 
 import asyncio
+import collections
 from collections.abc import Coroutine
 from typing import Any
 
@@ -14,8 +15,17 @@
         open: Lets every call through at once.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, shared: platform.MemoryStore | None = None) -> None:
+        """Initializes the store.
+
+        Args:
+            shared: A store whose objects this one shows, with faults of its
+                own, as another host sees them.
+        """
         super().__init__()
+        if shared is not None:
+            self.__dict__.update(shared.__dict__)
+            self.faults = collections.deque()
         self.open = False
         self._waiting: list[asyncio.Future[platform.Fault]] = []
 
@@ -53,6 +63,8 @@
 
     def __init__(self) -> None:
         self._loop = asyncio.new_event_loop()
+        # Tasks of hosts that died end with errors that nobody collects.
+        self._loop.set_exception_handler(lambda loop, context: None)
 
     def start(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         """Starts a task."""
@@ -66,14 +78,18 @@
 
     def settle(self) -> None:
         """Runs the tasks until nothing more happens without a release."""
-        for _ in range(20):
-            self._loop.run_until_complete(asyncio.sleep(0))
+        self._loop.run_until_complete(_settle())
 
     def close(self) -> None:
         """Cancels what still runs."""
-        tasks = asyncio.all_tasks(self._loop)
-        for task in tasks:
-            task.cancel()
-        if tasks:
+        # A cancelled task may start another one, to record what it leaves.
+        while tasks := asyncio.all_tasks(self._loop):
+            for task in tasks:
+                task.cancel()
             self._loop.run_until_complete(asyncio.wait(tasks))
         self._loop.close()
+
+
+async def _settle() -> None:
+    for _ in range(20):
+        await asyncio.sleep(0)
