--- a/src/sassafrashold/table/tests/test_csv_errors_name_the_cell.py
+++ b/src/sassafrashold/table/tests/test_csv_errors_name_the_cell.py
@@ -88,6 +88,7 @@
     assert table.parse_csv(table.format_csv((row,)).encode()) == (row,)
 
 
+@hypothesis.settings(max_examples=30)
 @hypothesis.given(
     strategies.lists(
         strategies.builds(
