Say of a dispatch that it did not run only when that holds for its key

A refusal before the claim is certain cannot know what earlier attempts with the key did, so it says outcome unknown unless the caller states that there was none. The HTTP client takes every 4xx but 408 and 412 as a write that was refused, as protocols.md says.

--- a/src/sassafrashold/dispatch/_dispatcher.py
+++ b/src/sassafrashold/dispatch/_dispatcher.py
@@ -74,6 +74,8 @@
         body: bytes,
         deadline: datetime.datetime,
         send: Callable[[str], Awaitable[bytes]],
+        *,
+        is_first_attempt: bool = False,
     ) -> Outcome:
         """Claims a dispatch, sends it, and records its result.
 
@@ -84,16 +86,26 @@
             deadline: Wall time after which nothing is sent.
             send: Sends the request; gets the claim id. It raises a
                 `SassafrasError` with NOT_RUN only if it certainly did not run.
+            is_first_attempt: Whether the caller states that no earlier attempt
+                with this key was sent.
 
         Raises:
-            DispatchError: With NOT_RUN if this attempt did not run and never
-                will, and OUTCOME_UNKNOWN if it or an earlier one may have run.
+            DispatchError: With NOT_RUN if no attempt with this key has run
+                (for KEY_REUSED: not with this body), which is known while this
+                host holds the claim or from `is_first_attempt`. Otherwise with
+                OUTCOME_UNKNOWN.
         """
         _claim.check_key(key)
+        before_claim = (
+            errors.Ran.NOT_RUN
+            if is_first_attempt
+            else errors.Ran.OUTCOME_UNKNOWN
+        )
         if self._recorder.is_full:
             raise errors.DispatchError(
                 errors.ErrorCode.OVERLOADED,
                 "too many results wait to be recorded",
+                ran=before_claim,
             )
         claim = _claim.Claim(
             self._new_id(),
@@ -107,6 +119,7 @@
             claim,
             self._clock,
             self._resolution,
+            before_claim,
         )
         result = await self._claim(claiming, deadline)
         if result is not None:
@@ -127,7 +140,7 @@
         """Makes the claim, or returns the result of an earlier attempt."""
         remaining = deadline - self._clock.now()
         if remaining <= datetime.timedelta():
-            raise _too_late()
+            raise _too_late(claiming.before_claim)
         try:
             async with asyncio.timeout(remaining.total_seconds()):
                 return await claiming.run(deadline)
@@ -158,7 +171,7 @@
         claim = claiming.claim
         if self._clock.now() >= deadline:
             await self._record(claiming.record(claim.with_release()))
-            raise _too_late()
+            raise _too_late(errors.Ran.NOT_RUN)
         try:
             result = await send(claim.claim_id)
         except errors.SassafrasError as error:
@@ -193,8 +206,11 @@
         claim: _claim.Claim,
         clock: clock_lib.Clock,
         resolution: platform.Backoff,
+        before_claim: errors.Ran,
     ) -> None:
         self.claim = claim
+        # What is known of the key before the claim is certain.
+        self.before_claim = before_claim
         # True from the first write until it is certain that it had no effect.
         self.may_be_stored = False
         self._store = store
@@ -217,6 +233,7 @@
         return errors.DispatchError(
             errors.ErrorCode.STORE_UNAVAILABLE,
             f"the claim could not be made certain, nothing was sent: {reason}",
+            ran=self.before_claim,
         )
 
     async def run(self, deadline: datetime.datetime) -> bytes | None:
@@ -300,8 +317,9 @@
         )
 
 
-def _too_late() -> errors.DispatchError:
+def _too_late(ran: errors.Ran) -> errors.DispatchError:
     return errors.DispatchError(
         errors.ErrorCode.DEADLINE_EXCEEDED,
         "the deadline passed before the request was sent",
+        ran=ran,
     )
--- a/src/sassafrashold/dispatch/tests/test_a_dispatch_runs_at_most_once.py
+++ b/src/sassafrashold/dispatch/tests/test_a_dispatch_runs_at_most_once.py
@@ -34,6 +34,7 @@
         self.claim_id = claim_id
         self.host = host
         self.body = body
+        self.is_first = False
         self.has_run = False
         self.answer = None
         self.task = None
@@ -96,8 +97,16 @@
     def request(self, number, body):
         _, dispatcher = self.hosts[number]
         attempt = _Attempt(self._next_claim_id(), dispatcher, body)
+        attempt.is_first = not self.attempts
         attempt.task = self.loop.start(
-            dispatcher.run("s", "k", body, _DEADLINE, attempt.send)
+            dispatcher.run(
+                "s",
+                "k",
+                body,
+                _DEADLINE,
+                attempt.send,
+                is_first_attempt=attempt.is_first,
+            )
         )
         self.attempts.append(attempt)
 
@@ -181,6 +190,10 @@
             elif error.ran is errors.Ran.NOT_RUN:
                 assert not attempt.has_run
                 assert not attempt.is_waiting
+                if error.code is not errors.ErrorCode.KEY_REUSED:
+                    # It speaks about the key: this host held the claim, after
+                    # no earlier attempt had run, or there was no earlier one.
+                    assert attempt.answer is not None or attempt.is_first
 
     def _check_result(self, attempt):
         outcome = attempt.task.result()
@@ -333,8 +346,7 @@
             continue
         assert attempts[-1][0] is ran, faults
         assert len(log) == 1, faults
-        for told, sends in attempts:
-            assert not (told is errors.Ran.NOT_RUN and sends), faults
+        assert errors.Ran.NOT_RUN not in [told for told, _ in attempts]
 
 
 async def test_a_late_release_leaves_the_claim_of_another_host_alone():
@@ -355,15 +367,26 @@
     assert stored == platform.Stored(_KEY, 2, theirs.encode())
 
 
-async def test_nothing_is_sent_while_the_store_is_down_or_after_the_deadline():
+@pytest.mark.parametrize("is_first", [True, False])
+async def test_a_refusal_before_the_claim_speaks_about_all_attempts(is_first):
     store = platform.MemoryStore()
     log: list[str] = []
-    store.down = True
-    assert await _run(store, _sending(log)) == _not_run("STORE_UNAVAILABLE")
-    store.down = False
-    assert await _run(store, _sending(log), deadline=_CLOCK.now()) == _not_run(
-        "DEADLINE_EXCEEDED"
-    )
+    cases = [
+        ("STORE_UNAVAILABLE", True, _DEADLINE),
+        ("DEADLINE_EXCEEDED", False, _CLOCK.now()),
+    ]
+    for code, store.down, deadline in cases:
+        with pytest.raises(errors.DispatchError) as caught:
+            await _dispatcher(store).run(
+                "s",
+                "k",
+                b"b",
+                deadline,
+                _sending(log),
+                is_first_attempt=is_first,
+            )
+        assert caught.value.code.value == code
+        assert (caught.value.ran is errors.Ran.NOT_RUN) == is_first
     assert log == []
     assert await store.list("") == {}
 
--- a/src/sassafrashold/platform/http.py
+++ b/src/sassafrashold/platform/http.py
@@ -32,8 +32,8 @@
 _READ_BACKOFF = _backoff.Backoff(attempts=3)
 
 _OK = frozenset({200, 201, 204})
-# Statuses that mean that the store refused a write before it did anything.
-_REFUSED = frozenset({400, 401, 403, 404, 405, 411, 413, 414, 428, 429, 431})
+# Any other 4xx on a write means that nothing was written (protocols.md, 3.1).
+_REQUEST_TIMEOUT = 408
 
 
 class _AnswerLostError(Exception):
@@ -189,7 +189,7 @@
         if status == 412 or (status == 404 and expected_version):
             found = 0 if status == 404 else _version_or_zero(headers)
             raise errors.StoreConflictError(key, expected_version, found)
-        if status in _REFUSED:
+        if 400 <= status < 500 and status != _REQUEST_TIMEOUT:
             raise _interface.unavailable(f"{what}: status {status}")
         raise _interface.ambiguous(f"{what}: status {status}")
 
--- a/src/sassafrashold/platform/tests/test_write_outcomes_are_truthful.py
+++ b/src/sassafrashold/platform/tests/test_write_outcomes_are_truthful.py
@@ -84,6 +84,8 @@
         (b"200 OK", _AMBIGUOUS, _UNKNOWN),
         (b"429 Slow down", _UNAVAILABLE, _NOT_RUN),
         (b"404 Gone", _CONFLICT, _NOT_RUN),
+        (b"408 Slow", _AMBIGUOUS, _UNKNOWN),
+        (b"422 No", _UNAVAILABLE, _NOT_RUN),
         (b'412 No\r\nETag: "9"', _CONFLICT, _NOT_RUN),
     ],
 )
--- a/src/sassafrashold/table/tests/test_racing_edits_are_never_lost.py
+++ b/src/sassafrashold/table/tests/test_racing_edits_are_never_lost.py
@@ -79,6 +79,14 @@
                 self.store.release(0, platform.Fault.NONE)
                 self.loop.settle()
 
+    @stateful.rule()
+    @stateful.precondition(lambda self: self.store.current(table.TABLE_KEY))
+    def write_back_unchanged(self):
+        """A control that starts confirms the table in this way."""
+        stored = self.store.current(table.TABLE_KEY)
+        assert stored is not None
+        self.loop.run(self.store._apply(stored.key, stored.value))
+
     @stateful.rule()
     @stateful.precondition(lambda self: self.store.has_delayed)
     def deliver_delayed(self):
@@ -105,9 +113,11 @@
         )
 
     def _check(self):
+        values = [
+            stored.value for stored in self.store.versions(table.TABLE_KEY)
+        ]
         committed = [
-            table.Table.decode(stored.value)
-            for stored in self.store.versions(table.TABLE_KEY)
+            table.Table.decode(value) for value, _ in itertools.groupby(values)
         ]
         self._check_each_revision_is_the_one_before_and_its_edit(committed)
         id_by_revision = {
