Add sassafras-ctl

Operators need to edit the table, take zones and hosts out of service, and see what each host knows.

--- /dev/null
+++ b/src/sassafrashold/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' tool `sassafras-ctl`."""
