--- a/src/sassafrashold/table/tests/test_csv_errors_name_the_cell.py
+++ b/src/sassafrashold/table/tests/test_csv_errors_name_the_cell.py
@@ -1,3 +1,5 @@
+import pathlib
+
 import hypothesis
 from hypothesis import strategies
 import pytest
@@ -112,3 +114,14 @@
     assert table.parse_csv(table.format_csv(ordered).encode()) == ordered
     stored = table.Table(1, ordered)
     assert table.Table.decode(stored.encode()) == stored
+
+
+def test_the_sample_table_can_be_imported():
+    root = pathlib.Path(__file__).parents[4]
+    rows = table.parse_csv((root / "config/samples/table.csv").read_bytes())
+    assert len(rows) == 27
+    assert {row.priority_class for row in rows} == {
+        "almanac",
+        "archive",
+        "normal",
+    }
