--- a/src/sassafrashold/ctl/_edits.py
+++ b/src/sassafrashold/ctl/_edits.py
@@ -20,7 +20,6 @@
 # Bound within which an accepted edit is in force on every host (P10).
 _CONFIRMATION_TIME = datetime.timedelta(seconds=4)
 _POLL_INTERVAL = datetime.timedelta(milliseconds=200)
-_REVISION_FACT = "table_revision"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -63,20 +62,20 @@
     accepted = await editor.apply(change, who=options.who, note=options.note)
     if not options.wait:
         return _Made(accepted, None)
-    unknown = await _wait(options.entries, accepted.revision)
+    unknown = await _wait(options.entries, accepted)
     return _Made(accepted, unknown)
 
 
 async def _wait(
-    entries: tuple[settings.Address, ...], revision: int
+    entries: tuple[settings.Address, ...], accepted: table_lib.Accepted
 ) -> tuple[settings.Address, ...]:
-    """Returns the entries that do not confirm a revision in time."""
+    """Returns the entries that do not confirm an edit in time."""
     missing = set(entries)
 
     async def poll(entry: settings.Address) -> None:
         while entry in missing:
             facts = await _entries.facts((entry,))
-            if _is_in_force(facts[entry], revision):
+            if _is_in_force(facts[entry], accepted):
                 missing.discard(entry)
             else:
                 await asyncio.sleep(_POLL_INTERVAL.total_seconds())
@@ -87,11 +86,31 @@
     return tuple(sorted(missing))
 
 
-def _is_in_force(facts: list[_entries.Fact], revision: int) -> bool:
-    """Returns whether every process of a host that says so has a revision."""
-    values = [fact.value for fact in facts if fact.name == _REVISION_FACT]
-    return bool(values) and all(
-        isinstance(value, int) and value >= revision for value in values
+def _is_in_force(
+    facts: list[_entries.Fact], accepted: table_lib.Accepted
+) -> bool:
+    """Returns whether all processes of a host that state a table have an edit.
+
+    The entry states the revision, owner and control the version in the store. A
+    process that did not answer its entry is unknown, and so is its host.
+    """
+    bound_by_name = {
+        "table_revision": accepted.revision,
+        "view.version": accepted.version,
+        "object_version": accepted.version,
+    }
+    stated = [
+        (fact.value, bound_by_name[fact.name])
+        for fact in facts
+        if fact.subject == table_lib.TABLE_KEY and fact.name in bound_by_name
+    ]
+    silent = any(f.name == "status" and f.value is None for f in facts)
+    return (
+        bool(stated)
+        and not silent
+        and all(
+            isinstance(value, int) and value >= bound for value, bound in stated
+        )
     )
 
 
--- a/src/sassafrashold/ctl/tests/test_operators_commands.py
+++ b/src/sassafrashold/ctl/tests/test_operators_commands.py
@@ -67,7 +67,7 @@
         yield deployment
 
 
-def _entry_app(revision):
+def _entry_app(revision, more_facts=()):
     async def status(request):
         fact = {
             "name": "table_revision",
@@ -77,7 +77,7 @@
             "source": "entry",
         }
         owned = {"name": "slots", "subject": "leaf-1", "value": 3}
-        return web.json_response([fact, fact | owned])
+        return web.json_response([fact, fact | owned, *more_facts])
 
     async def explain(request):
         if request.match_info["id"] != "r/1" or revision is None:
@@ -185,7 +185,7 @@
 
 async def test_an_outage_and_a_lost_answer_are_told_apart(monkeypatch):
     monkeypatch.setattr(
-        platform.Backoff, "delay", lambda *_: 0 * _edits._POLL_INTERVAL
+        platform.Backoff, "delay", lambda *_: datetime.timedelta()
     )
     async with _deployment() as deployment:
         deployment.store.choose_fault = lambda method, key: (
@@ -222,6 +222,31 @@
         assert f"{dead}: unknown" in text.stdout
 
 
+@pytest.mark.parametrize(
+    ("name", "value", "confirmed"),
+    [
+        ("view.version", 1, True),
+        ("view.version", 0, False),
+        ("object_version", 0, False),
+        ("object_version", None, False),
+        ("status", None, False),
+    ],
+)
+async def test_a_host_confirms_only_when_all_its_processes_do(
+    name, value, confirmed, monkeypatch
+):
+    monkeypatch.setattr(
+        _edits, "_CONFIRMATION_TIME", datetime.timedelta(milliseconds=300)
+    )
+    facts = [{"name": name, "subject": "config/table", "value": value}]
+    async with _deployment() as deployment:
+        app = _entry_app(1, facts)
+        async with fake_http.serving(app) as entry:
+            deployment.entries[entry] = 1
+            result = await deployment.ctl("host", "out", "h", "--wait")
+    assert result.exit_code == (0 if confirmed else 6)
+
+
 async def test_status_says_unknown_instead_of_guessing():
     async with _deployment(4, None) as deployment:
         dead = settings.Address("127.0.0.1", 1)
--- a/src/sassafrashold/platform/http.py
+++ b/src/sassafrashold/platform/http.py
@@ -20,7 +20,9 @@
 from sassafrashold.platform import _interface
 
 _CONNECT_TIMEOUT = datetime.timedelta(milliseconds=500)
-_READ_TIMEOUT = datetime.timedelta(seconds=1)
+# Bounds all attempts together, so that a store that takes seconds to answer is
+# waited for and not asked again.
+_READ_TIMEOUT = datetime.timedelta(seconds=3)
 _WRITE_TIMEOUT = datetime.timedelta(seconds=2)
 # Time for the way to the store and back on top of a watch's own wait.
 _WATCH_MARGIN = datetime.timedelta(seconds=1)
@@ -34,6 +36,7 @@
 _OK = frozenset({200, 201, 204})
 # Any other 4xx on a write means that nothing was written (protocols.md, 3.1).
 _REQUEST_TIMEOUT = 408
+_TOO_MANY_REQUESTS = 429
 
 
 class _AnswerLostError(Exception):
@@ -43,8 +46,9 @@
 class HttpPlatform:
     """The object store and host list over HTTP/1.1.
 
-    Reads are tried up to three times with full-jitter backoff. Writes are sent
-    once: the answer to a repeated write could not be told from a conflict.
+    Reads that fail at once are tried up to three times with full-jitter
+    backoff. Writes are sent once: the answer to a repeated write could not be
+    told from a conflict.
     """
 
     def __init__(
@@ -139,7 +143,7 @@
         self,
         url: str,
         headers: dict[str, str] | None = None,
-        timeout: datetime.timedelta = _READ_TIMEOUT,
+        timeout: datetime.timedelta | None = None,
     ) -> tuple[int, Any, bytes]:
         """Sends a GET until an answer comes or the attempts are used up.
 
@@ -150,10 +154,14 @@
             StoreError: STORE_UNAVAILABLE.
         """
         reason = ""
+        end = self._clock.monotonic() + (timeout or _READ_TIMEOUT)
         for attempt in range(1, _READ_BACKOFF.attempts + 1):
+            remaining = end - self._clock.monotonic()
+            if remaining <= datetime.timedelta():
+                break
             try:
                 status, found, body = await self._send(
-                    "GET", url, headers or {}, None, timeout
+                    "GET", url, headers or {}, None, remaining
                 )
             except (_AnswerLostError, errors.StoreError) as error:
                 reason = str(error)
@@ -161,7 +169,7 @@
                 if status in {200, 304, 404}:
                     return status, found, body
                 reason = f"status {status}"
-                if status < 500 and status != 429:
+                if status < 500 and status != _TOO_MANY_REQUESTS:
                     break
             if attempt < _READ_BACKOFF.attempts:
                 delay = _READ_BACKOFF.delay(attempt)
--- a/src/sassafrashold/platform/tests/test_write_outcomes_are_truthful.py
+++ b/src/sassafrashold/platform/tests/test_write_outcomes_are_truthful.py
@@ -2,6 +2,7 @@
 import contextlib
 import datetime
 
+from aiohttp import web
 import pytest
 
 from sassafrashold import clock as clock_lib
@@ -120,6 +121,30 @@
         assert requests == ["GET"] * 3
 
 
+async def test_a_slow_store_is_waited_for_and_not_asked_again(monkeypatch):
+    monkeypatch.setattr(
+        http, "_READ_TIMEOUT", datetime.timedelta(milliseconds=300)
+    )
+    requests = []
+
+    async def never(request):
+        requests.append(request.path)
+        await asyncio.sleep(5)
+
+    app = web.Application()
+    app.router.add_get("/{path:.*}", never)
+    async with fake_http.serving(app) as address:
+        client = http.HttpPlatform(address, _CLOCK)
+        started = _CLOCK.monotonic()
+        with pytest.raises(errors.StoreError) as caught:
+            await client.get("k")
+        elapsed = _CLOCK.monotonic() - started
+        await client.close()
+    assert caught.value.code is _UNAVAILABLE
+    assert requests == ["/v1/objects/k"]
+    assert elapsed < datetime.timedelta(seconds=2)
+
+
 async def test_a_write_to_a_closed_port_is_reported_as_not_run():
     async with _answering(None) as (client, _):
         pass
