--- a/src/sassafrashold/load/tests/test_load_counts_what_entries_answer.py
+++ b/src/sassafrashold/load/tests/test_load_counts_what_entries_answer.py
@@ -59,7 +59,7 @@
         for number, fake in enumerate(fakes):
             server = test_utils.TestServer(fake.app, host="127.0.0.1")
             await stack.enter_async_context(server)
-            address = settings.Address("127.0.0.1", server.port)
+            address = settings.Address("127.0.0.1", server.port or 0)
             entries.append(load.Entry(f"z{number}", address))
         return await load.run_searches(
             load.SearchPlan(
