Count only waiting requests and whole places for floors in admission

Cause: a request that left the queue stayed in its heap and counted as ahead of all later ones of a class that was otherwise empty, so a small class could be refused for ever. A floor of a part of a place was granted as a whole place all the time. The estimated wait ignored floors. Change: only waiting requests count; a floor is strict in whole places and the least weight of the turns; the estimate knows both.

--- a/src/sassafrashold/admission/_queue.py
+++ b/src/sassafrashold/admission/_queue.py
@@ -120,8 +120,9 @@
 
     The entry and each service have an adaptive concurrency limit. A free place
     goes first to classes that run less than their floor, then to classes by
-    weighted fair queueing. Within a class the earliest deadline comes first;
-    requests whose service is at its limit are passed over. All times are
+    weighted fair queueing, where a floor is also the least weight. Within a
+    class the earliest deadline comes first; requests whose service is at its
+    limit are passed over. All times are
     monotonic.
     """
 
@@ -302,7 +303,8 @@
         """Returns whether its next request is within the floor of a class.
 
         The floor holds for the entry and for the service, whichever limit is
-        the narrower one.
+        the narrower one. It counts in whole places; what is left of it comes
+        with the turns of the class, see `_part`.
         """
         if not class_.policy.floor_percent:
             return False
@@ -314,7 +316,7 @@
         limit = self._service(head.service).limit.value
         of_service = self.floor_of(name, limit)
         running = class_.running_by_service.get(head.service, 0)
-        return class_.running < of_entry and running < of_service
+        return class_.running + 1 <= of_entry and running + 1 <= of_service
 
     def _head(self, class_: _Class) -> Ticket | None:
         """Returns the request with the earliest deadline that can start."""
@@ -347,7 +349,7 @@
         service.running += 1
         self._running[ticket] = now
         self._virtual_now = max(self._virtual_now, class_.virtual_time)
-        class_.virtual_time += 1 / class_.policy.share
+        class_.virtual_time += 1 / self._part(class_)
         return Start(ticket)
 
     def _estimated_wait(
@@ -359,22 +361,36 @@
     ) -> datetime.timedelta:
         """Returns how long a request would wait behind earlier deadlines."""
         time = service.typical_time(now)
-        part = self._part(class_)
         ahead_by_service = {
-            name: sum(deadline <= ticket.deadline for deadline, _, _ in heap)
+            name: sum(
+                deadline <= ticket.deadline and other in self._waiting
+                for deadline, _, other in heap
+            )
             for name, heap in class_.heap_by_service.items()
         }
         ahead = sum(ahead_by_service.values())
         waits = [_ZERO]
-        if self.entry_limit.value - len(self._running) <= ahead:
-            places = self.entry_limit.value * part
-            waits.append(time * ((ahead + 1) / places))
+        limit = self.entry_limit.value
+        if limit - len(self._running) <= ahead:
+            waits.append(
+                time * self._rounds(class_, class_.running, ahead, limit)
+            )
         ahead = ahead_by_service.get(ticket.service, 0)
-        if service.limit.value - service.running <= ahead:
-            places = service.limit.value * part
-            waits.append(time * ((ahead + 1) / places))
+        limit = service.limit.value
+        if limit - service.running <= ahead:
+            running = class_.running_by_service.get(ticket.service, 0)
+            waits.append(time * self._rounds(class_, running, ahead, limit))
         return max(waits)
 
+    def _rounds(
+        self, class_: _Class, running: int, ahead: int, limit: int
+    ) -> float:
+        """Returns the wait for a place, in typical service times."""
+        if running + ahead + 1 <= self.floor_of(class_.policy.name, limit):
+            # Below its floor a class gets one of the next free places.
+            return (ahead + 1) / limit
+        return (ahead + 1) / (limit * self._part(class_))
+
     def _part(self, class_: _Class) -> float:
         """Returns the part of the capacity that a class gets now."""
         total = sum(
--- a/src/sassafrashold/admission/tests/test_floors_and_deadlines.py
+++ b/src/sassafrashold/admission/tests/test_floors_and_deadlines.py
@@ -55,13 +55,13 @@
             assert self.is_below_floor(ticket.priority_class, ticket.service)
 
     def is_below_floor(self, name, service):
-        """A floor is a part of the entry's and of the service's places."""
+        """A floor is whole places of the entry and of the service."""
         running = [t for t in self.running if t.priority_class == name]
         of_service = [t for t in running if t.service == service]
         limit = self.queue.limit_by_service()[service]
-        return len(running) < self.queue.floor_of(name, self.limit) and len(
-            of_service
-        ) < self.queue.floor_of(name, limit)
+        return len(running) + 1 <= self.queue.floor_of(
+            name, self.limit
+        ) and len(of_service) + 1 <= self.queue.floor_of(name, limit)
 
     def finish(self, ticket):
         del self.running[ticket]
@@ -154,6 +154,23 @@
     assert names.count("big") == pytest.approx(150, abs=2)
 
 
+def test_a_floor_of_less_than_a_place_is_granted_in_turns():
+    policies = (
+        admission.ClassPolicy("big", 90, 0, 1000),
+        admission.ClassPolicy("small", 1, 10, 1000),
+    )
+    world = World(policies, limit=1)
+    for _ in range(400):
+        world.offer("big", 10_000)
+        world.offer("small", 10_000)
+    world.decide()
+    for _ in range(299):
+        world.finish(world.started[-1])
+        world.decide()
+    names = [t.priority_class for t in world.started]
+    assert names.count("small") == pytest.approx(30, abs=3)
+
+
 def test_the_earliest_deadline_of_a_class_starts_first():
     world = World(limit=1)
     world.offer("normal", 10)
@@ -197,6 +214,17 @@
     assert 4 <= accepted <= 7
 
 
+def test_requests_that_have_left_the_queue_do_not_count_as_waiting():
+    world = World(limit=1)
+    _learned(world)
+    world.offer("normal", 1000)
+    world.decide()
+    for _ in range(20):
+        left = world.offer("lookup", 120)
+        assert world.queue.withdraw(left)
+    world.offer("lookup", 120)
+
+
 def test_a_request_whose_time_ran_out_in_the_queue_never_starts():
     world = World(limit=1)
     _learned(world)
