Let the demo use sassafras-ctl

Cause: sassafras-ctl has landed; its status has several hundred lines. Change: the demo calls it with platform and entries, waits for each edit to be in force, and shows the first 25 lines of its output. Result: passes on a scratch copy in which the entry uses the dispatcher; on this commit it stops at the dispatch, which the entry still refuses.

--- a/src/sassafrashold/standins/demo.py
+++ b/src/sassafrashold/standins/demo.py
@@ -28,6 +28,7 @@
 _ZONE = "east"
 _ZONE_BOUND_S = 4.0
 _WATCH_S = 3.0
+_MAX_OUTPUT_LINES = 25
 _SEARCH_SERVICES = ("almanac", "records")
 _DISPATCH_SERVICE = "guichet"
 _CTL = "from sassafrashold.ctl.main import main; main()"
@@ -53,16 +54,18 @@
         await self._bring_zone_back()
         await self._show_status()
 
-    async def _ctl(self, *arguments: str) -> str:
-        """Runs sassafras-ctl against the first entry; returns its output."""
-        entry = self._cluster.deployment.hosts[0].entry_http
+    async def _ctl(self, *arguments: str) -> None:
+        """Runs sassafras-ctl against all entries and shows its output."""
+        deployment = self._cluster.deployment
+        connection = ["--platform", str(deployment.platform)]
+        for host in deployment.hosts:
+            connection += ["--entry", str(host.entry_http)]
         _say("$ sassafras-ctl " + " ".join(arguments))
         child = await asyncio.create_subprocess_exec(
             sys.executable,
             "-c",
             _CTL,
-            "--entry",
-            str(entry),
+            *connection,
             *arguments,
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT,
@@ -72,15 +75,19 @@
         finally:
             if child.returncode is None:
                 child.kill()
-        text = output.decode().rstrip()
-        _say(text)
+        lines = output.decode().rstrip().splitlines()
+        for line in lines[:_MAX_OUTPUT_LINES]:
+            _say(f"  {line}")
+        if len(lines) > _MAX_OUTPUT_LINES:
+            _say(f"  ... and {len(lines) - _MAX_OUTPUT_LINES} lines more")
         _require(child.returncode == 0, f"sassafras-ctl {arguments[0]} failed")
-        return text
 
     async def _import_table(self) -> None:
         _title("The operators import the table")
         table = self._cluster.directory / "table.csv"
-        await self._ctl("import", str(table), "--note", "demo")
+        await self._ctl(
+            "table", "import", str(table), "--note", "demo", "--wait"
+        )
         await self._cluster.hosts_ready(self._hosts)
         _say(f"all entries are ready: {', '.join(self._hosts)}")
 
@@ -128,7 +135,9 @@
     async def _take_zone_out(self) -> None:
         _title(f"The zone {_ZONE} is taken out under load")
         async with self._load():
-            await self._ctl("zone", "out", _ZONE, "--note", "maintenance")
+            await self._ctl(
+                "zone", "out", _ZONE, "--note", "maintenance", "--wait"
+            )
             marked = time.monotonic()
             await self._until_quiet()
             _say(f"no new work in {_ZONE} after {_since(marked)}")
@@ -143,7 +152,9 @@
         await self._cluster.make_leafs_cold({"zone": _ZONE})
         await self._cluster.reset_leaf_records()
         async with self._load():
-            await self._ctl("zone", "in", _ZONE, "--note", "maintenance done")
+            await self._ctl(
+                "zone", "in", _ZONE, "--note", "maintenance done", "--wait"
+            )
             marked = time.monotonic()
 
             async def works() -> bool:
