Serve dispatches under claims in the entry

Cause: the entry refused each dispatch although the dispatch package has landed. Change: the entry's main passes the dispatcher on, and waits up to 2 s for records under way at its end.

--- a/src/sassafrashold/entry/main.py
+++ b/src/sassafrashold/entry/main.py
@@ -1,35 +1,18 @@
 """The binary `sassafras-entry`."""
 
 import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
 import datetime
 
 from sassafrashold import clock
-from sassafrashold import errors
+from sassafrashold import dispatch
 from sassafrashold import platform
 from sassafrashold import process
 from sassafrashold.entry import _daemon
-from sassafrashold.entry import _sender
 from sassafrashold.entry import _settings
 from sassafrashold.platform import http
 
-
-class _NoDispatcher:
-    """Stands in until the dispatch package is there."""
-
-    async def run(
-        self,
-        service: str,
-        key: str,
-        body: bytes,
-        deadline: datetime.datetime,
-        send: Callable[[str], Awaitable[bytes]],
-    ) -> _sender.DispatchOutcome:
-        """Refuses each dispatch."""
-        raise errors.DispatchError(
-            errors.ErrorCode.STORE_UNAVAILABLE, "dispatches are not served yet"
-        )
+# Time for the results of finished dispatches to be recorded at the end.
+_RECORD_TIMEOUT = datetime.timedelta(seconds=2)
 
 
 async def _run(
@@ -37,10 +20,14 @@
 ) -> None:
     system_clock = clock.SystemClock()
     client = http.HttpPlatform(values.platform, system_clock)
+    dispatcher = dispatch.Dispatcher(client, values.host, system_clock)
+
+    async def close() -> None:
+        await dispatcher.drain(_RECORD_TIMEOUT)
+        await client.close()
+
     parts = _daemon.PlatformParts(
-        _NoDispatcher(),
-        platform.gateway_handlers(client, client),
-        client.close,
+        dispatcher, platform.gateway_handlers(client, client), close
     )
     await _daemon.Daemon(values, system_clock, parts).run(stopping)
 
