Test that a dispatch runs once over two entries

Cause: the smoke test had no dispatch. Change: the same key at two entries gives one run at the leafs and one result.

--- a/tests/integration/test_smoke.py
+++ b/tests/integration/test_smoke.py
@@ -30,6 +30,22 @@
         assert load.check_answer("records", query, answer) == []
 
 
+async def test_dispatch_runs_once(cluster):
+    await _until_full(cluster, "guichet")
+    for host in ("north-1", "east-1"):
+        status, answer = await cluster.dispatch(
+            host, "guichet", "key-1", {"order": 1}
+        )
+        assert (status, answer["result"]["idempotency_key"]) == (200, "key-1")
+    runs = [
+        call["idempotency_key"]
+        for record in (await cluster.leaf_records()).values()
+        for call in record["calls"]
+        if call["kind"] == "dispatch"
+    ]
+    assert runs == ["key-1"]
+
+
 async def test_sigterm_lets_searches_finish(cluster):
     await _until_full(cluster, "almanac")
     await cluster.set_leaf_faults({"service": "almanac"}, extra_ms=300)
