Release the admission place before writing to the caller

Trace context also goes out to the caller, dispatches have a client span, hedges and retries are counted in metrics.

--- a/src/sassafrashold/entry/_daemon.py
+++ b/src/sassafrashold/entry/_daemon.py
@@ -148,7 +148,9 @@
             self.feed,
             self.gate,
             self._platform.dispatcher,
-            _sender.Sender(self.searcher, self._pool, self._clock),
+            _sender.Sender(
+                self.searcher, self._pool, self._clock, self._tracer
+            ),
             self._clock,
             self._tracer,
             self._metrics,
--- a/src/sassafrashold/entry/_dispatch_handler.py
+++ b/src/sassafrashold/entry/_dispatch_handler.py
@@ -71,7 +71,7 @@
         started = self._clock.monotonic()
         with self._tracer.span(
             "dispatch",
-            request.headers.get("traceparent"),
+            request.headers.get(_responses.TRACEPARENT_HEADER),
             trace.SpanKind.SERVER,
         ) as span:
             record.trace_id = format(span.get_span_context().trace_id, "032x")
@@ -140,11 +140,16 @@
                 admitted.answered = not outcome.replayed
         except errors.SassafrasError as error:
             self._finish(record, started, error)
-            return _responses.refusal(error, record.request_id)
+            return _responses.refusal(
+                error, record.request_id, traceparent=traceparent
+            )
         record.detail["replayed"] = outcome.replayed
         self._finish(record, started, None)
         return _responses.dispatched(
-            outcome.result, outcome.replayed, record.request_id
+            outcome.result,
+            outcome.replayed,
+            record.request_id,
+            traceparent,
         )
 
     def _finish(
--- a/src/sassafrashold/entry/_responses.py
+++ b/src/sassafrashold/entry/_responses.py
@@ -12,6 +12,7 @@
 from sassafrashold import search
 
 REQUEST_ID_HEADER = "X-Request-Id"
+TRACEPARENT_HEADER = "traceparent"
 _INTERNAL_STATUS = 500
 
 _STATUS_BY_CODE = {
@@ -48,8 +49,19 @@
 }
 
 
+def headers(request_id: str, traceparent: str | None) -> dict[str, str]:
+    """Returns the headers by which a caller can find its request again."""
+    values = {REQUEST_ID_HEADER: request_id}
+    if traceparent is not None:
+        values[TRACEPARENT_HEADER] = traceparent
+    return values
+
+
 def refusal(
-    error: errors.SassafrasError, request_id: str, status: int | None = None
+    error: errors.SassafrasError,
+    request_id: str,
+    status: int | None = None,
+    traceparent: str | None = None,
 ) -> web.Response:
     """Returns the response for an error.
 
@@ -57,16 +69,17 @@
         error: The error.
         request_id: Id that the caller sees.
         status: HTTP status; by default that of the code.
+        traceparent: W3C trace context of the request.
     """
-    headers = {REQUEST_ID_HEADER: request_id}
+    fields = headers(request_id, traceparent)
     if error.retry_after is not None:
         seconds = math.ceil(error.retry_after.total_seconds())
-        headers["Retry-After"] = str(seconds)
+        fields["Retry-After"] = str(seconds)
     return web.Response(
         status=status or _STATUS_BY_CODE.get(error.code, _INTERNAL_STATUS),
         body=_dump({"request_id": request_id, **error_document(error)}),
         content_type="application/json",
-        headers=headers,
+        headers=fields,
     )
 
 
@@ -84,14 +97,16 @@
     return {"error": value}
 
 
-def answer(answer: search.SearchAnswer, request_id: str) -> web.Response:
+def answer(
+    answer: search.SearchAnswer, request_id: str, traceparent: str
+) -> web.Response:
     """Returns the response for a search."""
     head = _dump(_coverage(answer, request_id))
     body = b"".join((head[:-1], b',"rows":[', _join(answer.rows), b"]}"))
     return web.Response(
         body=body,
         content_type="application/json",
-        headers={REQUEST_ID_HEADER: request_id},
+        headers=headers(request_id, traceparent),
     )
 
 
@@ -113,7 +128,9 @@
     return _dump({"request_id": request_id, **error_document(error)}) + b"\n"
 
 
-def dispatched(result: bytes, replayed: bool, request_id: str) -> web.Response:
+def dispatched(
+    result: bytes, replayed: bool, request_id: str, traceparent: str
+) -> web.Response:
     """Returns the response for a dispatch."""
     return web.Response(
         body=_dump(
@@ -124,7 +141,7 @@
             }
         ),
         content_type="application/json",
-        headers={REQUEST_ID_HEADER: request_id},
+        headers=headers(request_id, traceparent),
     )
 
 
--- a/src/sassafrashold/entry/_search_handler.py
+++ b/src/sassafrashold/entry/_search_handler.py
@@ -1,13 +1,13 @@
 """The search endpoint."""
 
 import asyncio
-from collections.abc import Iterable
 import contextlib
 import datetime
 import secrets
 
 from aiohttp import web
 from opentelemetry import trace
+from reactivex import abc as reactive
 from reactivex import subject
 
 from sassafrashold import admission
@@ -19,18 +19,12 @@
 from sassafrashold import views
 from sassafrashold.entry import _bodies
 from sassafrashold.entry import _inputs
+from sassafrashold.entry import _observe
 from sassafrashold.entry import _recent
 from sassafrashold.entry import _responses
 from sassafrashold.telemetry import tracing
 
-_CONGESTED_OUTCOMES = frozenset(
-    {
-        errors.ErrorCode.OVERLOADED.value,
-        errors.ErrorCode.LEAF_SHED.value,
-        errors.ErrorCode.DEADLINE_TOO_SHORT.value,
-    }
-)
-_QUEUE_FACTOR = 2
+_WRITE_TIMEOUT_S = 30.0
 _NDJSON = "application/x-ndjson"
 
 
@@ -62,7 +56,9 @@
             "", "search", request.match_info["service"], self._clock.now(), ""
         )
         with self._tracer.span(
-            "search", request.headers.get("traceparent"), trace.SpanKind.SERVER
+            "search",
+            request.headers.get(_responses.TRACEPARENT_HEADER),
+            trace.SpanKind.SERVER,
         ) as span:
             record.trace_id = format(span.get_span_context().trace_id, "032x")
             try:
@@ -77,7 +73,11 @@
                 record.error = error
                 span.set_attribute("error.code", error.code.value)
                 self._metrics.count(f"search.refused.{error.code.value}")
-                response = _responses.refusal(error, record.request_id)
+                response = _responses.refusal(
+                    error,
+                    record.request_id,
+                    traceparent=tracing.header_of(span),
+                )
             finally:
                 self._finish(record, started)
             return response
@@ -121,23 +121,34 @@
             allow_partial=values.allow_partial,
             traceparent=traceparent,
         )
+        if values.stream:
+            return await self._stream(request, search_request, row, record)
+        answer = await self._admitted(search_request, row, record)
+        return _responses.answer(answer, record.request_id, traceparent)
+
+    async def _admitted(
+        self,
+        search_request: search.SearchRequest,
+        row: table_lib.ServiceRow,
+        record: _recent.RequestRecord,
+        rows: reactive.ObserverBase[search.ShardRows] | None = None,
+    ) -> search.SearchAnswer:
+        """Waits for a place, searches, and gives the place back."""
         async with self._gate.admit(
-            values.priority_class, row.service, search_request.deadline
+            search_request.priority_class, row.service, search_request.deadline
         ) as admitted:
             record.admitted_ms = admitted.waited.total_seconds() * 1000
             try:
-                if values.stream:
-                    return await self._stream(
-                        request, search_request, row, record
-                    )
                 answer = await self._searcher.search(
-                    search_request, row, record.plans.append
+                    search_request, row, record.plans.append, rows
                 )
             finally:
-                admitted.congested = is_congested(record.plans)
-                admitted.answered = bool(record.plans)
+                observation = _observe.observe(record.plans)
+                observation.count(self._metrics)
+                admitted.congested = observation.congested
+                admitted.answered = observation.answered
         self._count_coverage(answer)
-        return _responses.answer(answer, record.request_id)
+        return answer
 
     async def _stream(
         self,
@@ -150,7 +161,9 @@
         response = web.StreamResponse(
             headers={
                 "Content-Type": _NDJSON,
-                _responses.REQUEST_ID_HEADER: record.request_id,
+                **_responses.headers(
+                    record.request_id, search_request.traceparent
+                ),
             }
         )
         lines: asyncio.Queue[bytes | None] = asyncio.Queue()
@@ -161,10 +174,9 @@
         )
         writer = asyncio.create_task(_write_lines(request, response, lines))
         try:
-            answer = await self._searcher.search(
-                search_request, row, record.plans.append, shard_rows
+            answer = await self._admitted(
+                search_request, row, record, shard_rows
             )
-            self._count_coverage(answer)
             last = _responses.last_line(answer, record.request_id)
         except errors.SassafrasError as error:
             if not response.prepared and lines.empty():
@@ -176,11 +188,20 @@
             raise
         finally:
             shard_rows.on_completed()
-        await writer
-        if not response.prepared:
-            await response.prepare(request)
-        await response.write(last)
-        await response.write_eof()
+        try:
+            async with asyncio.timeout(_WRITE_TIMEOUT_S):
+                await writer
+                if not response.prepared:
+                    await response.prepare(request)
+                await response.write(last)
+                await response.write_eof()
+        except TimeoutError:
+            # The caller reads too slowly; without the last line it knows
+            # that the result is incomplete.
+            self._metrics.count("search.slow_callers")
+            writer.cancel()
+            if request.transport is not None:
+                request.transport.abort()
         return response
 
     def _count_coverage(self, answer: search.SearchAnswer) -> None:
@@ -192,26 +213,6 @@
             )
 
 
-def is_congested(plans: Iterable[search.PlanReport]) -> bool:
-    """Returns whether sub-queries waited longer than leafs worked.
-
-    Owners state both times in whole milliseconds, so a millisecond for each
-    sub-query is allowed on top.
-    """
-    queue_ms = 0
-    leaf_ms = 0
-    answers = 0
-    for plan in plans:
-        for attempt in plan.attempts:
-            if attempt.outcome in _CONGESTED_OUTCOMES:
-                return True
-            if attempt.queue_ms is not None:
-                answers += 1
-                queue_ms += attempt.queue_ms
-                leaf_ms += attempt.leaf_ms or 0
-    return queue_ms > leaf_ms * _QUEUE_FACTOR + answers
-
-
 async def _write_lines(
     request: web.Request,
     response: web.StreamResponse,
--- a/src/sassafrashold/entry/_sender.py
+++ b/src/sassafrashold/entry/_sender.py
@@ -9,12 +9,15 @@
 from typing import Any
 from typing import Protocol
 
+from opentelemetry import trace
+
 from sassafrashold import clock as clock_lib
 from sassafrashold import errors
 from sassafrashold import rpc
 from sassafrashold import search
 from sassafrashold import table as table_lib
 from sassafrashold import wire
+from sassafrashold.telemetry import tracing
 
 
 class DispatchOutcome(Protocol):
@@ -74,8 +77,10 @@
         searcher: search.Searcher,
         pool: rpc.Pool,
         clock: clock_lib.Clock,
+        tracer: tracing.Tracer,
         random_source: random.Random | None = None,
     ) -> None:
+        self._tracer = tracer
         self._searcher = searcher
         self._pool = pool
         self._clock = clock
@@ -155,21 +160,16 @@
                 f"no owner is known for leaf {replica.leaf_id}",
             )
         margin = search.margin_of(call.deadline - self._clock.now())
-        reply = await self._pool.get(owner).call(
-            "dispatch",
-            wire.encode(
-                wire.messages.DispatchRequest(
-                    request_id=call.request_id,
-                    service_name=call.service,
-                    idempotency_key=call.key,
-                    claim_id=claim_id,
-                    leaf=replica.leaf_id,
-                    body=call.body,
-                )
-            ),
-            deadline=call.deadline - margin,
-            traceparent=traceparent,
-        )
+        with self._tracer.span(
+            "dispatch.send", traceparent, trace.SpanKind.CLIENT
+        ) as span:
+            span.set_attribute("peer", str(owner))
+            reply = await self._pool.get(owner).call(
+                "dispatch",
+                _encode(call, replica, claim_id),
+                deadline=call.deadline - margin,
+                traceparent=tracing.header_of(span),
+            )
         try:
             result: bytes = wire.decode(
                 wire.messages.DispatchReply, reply
@@ -212,3 +212,18 @@
         if self._clock.now() + delay >= call.deadline:
             raise error
         await asyncio.sleep(delay.total_seconds())
+
+
+def _encode(
+    call: DispatchCall, replica: search.Replica, claim_id: str
+) -> bytes:
+    return wire.encode(
+        wire.messages.DispatchRequest(
+            request_id=call.request_id,
+            service_name=call.service,
+            idempotency_key=call.key,
+            claim_id=claim_id,
+            leaf=replica.leaf_id,
+            body=call.body,
+        )
+    )
--- a/src/sassafrashold/entry/tests/entry_fakes.py
+++ b/src/sassafrashold/entry/tests/entry_fakes.py
@@ -34,6 +34,7 @@
         self.asked = []
         self.versions_by_request = collections.defaultdict(set)
         self.cancelled = []
+        self.traceparents = []
         self.answer_by_leaf = {}
         self.server = rpc.Server(
             {"scatter": self._scatter, "dispatch": self._dispatch}, CLOCK
@@ -41,6 +42,7 @@
 
     async def _scatter(self, context, body):
         request = wire.decode(wire.messages.ScatterRequest, body)
+        self.traceparents.append(context.traceparent)
         await asyncio.gather(
             *(self._one(context, request, s) for s in request.subqueries)
         )
--- a/src/sassafrashold/entry/tests/test_life_of_the_daemon.py
+++ b/src/sassafrashold/entry/tests/test_life_of_the_daemon.py
@@ -31,6 +31,24 @@
         await asyncio.wait_for(fixture.task, 5)
 
 
+async def test_after_the_balancer_time_new_requests_are_refused_as_not_run():
+    async with fakes.running() as fixture:
+        for leaf in [f"{z}-{n}" for z in fakes.ZONES for n in range(4)]:
+            fixture.answer(leaf, fakes.delayed(0.4))
+        first = asyncio.create_task(fixture.search())
+        await fakes.until(lambda: len(fixture.asked()) >= 4)
+        # A second connection is open before the listener is closed.
+        async with fixture.session.get("/healthz") as response:
+            assert response.status == 200
+        fixture.stopping.set()
+        await fakes.until(lambda: fixture.daemon._http.is_refusing)
+        status, answer = await fixture.search()
+        assert (status, answer["error"]["code"]) == (503, "DRAINING")
+        assert answer["error"]["ran"] == "not_run"
+        status, answer = await first
+        assert (status, answer["partial"]) == (200, False)
+
+
 async def test_readiness_needs_a_view_and_says_what_is_missing():
     async with fakes.running() as fixture:
         async with fixture.session.get("/readyz") as response:
--- a/src/sassafrashold/entry/tests/test_search_over_http.py
+++ b/src/sassafrashold/entry/tests/test_search_over_http.py
@@ -183,6 +183,24 @@
     assert lines[-1] == {k: v for k, v in _FULL.items() if k != "rows"}
 
 
+async def test_the_trace_of_the_caller_goes_in_and_out():
+    trace_id = "0af7651916cd43dd8448eb211c80319c"
+    header = f"00-{trace_id}-b7ad6b7169203331-01"
+    async with (
+        fakes.running() as fixture,
+        fixture.session.post(
+            f"/v1/services/{fakes.SERVICE}/search",
+            json={"query": 1},
+            headers={"traceparent": header},
+        ) as response,
+    ):
+        assert response.headers["traceparent"].split("-")[1] == trace_id
+        assert response.headers["traceparent"] != header
+        for owner in fixture.owner_by_zone.values():
+            for seen in owner.traceparents:
+                assert seen.split("-")[1] == trace_id
+
+
 async def test_a_streamed_answer_never_changes_its_version():
     async def gone_later(request, sub):
         await asyncio.sleep(0.05)
