Run dispatches under claims and delete old claims

Change: the daemon uses dispatch.Dispatcher, drains its records, deletes expired claims on the host that renews the first zone's lease, and reads Idempotency-Attempt. Its own refusals (admission, draining, table unknown) say not_run only for a stated first attempt.

--- a/src/sassafrashold/entry/_daemon.py
+++ b/src/sassafrashold/entry/_daemon.py
@@ -17,12 +17,14 @@
 
 from sassafrashold import admission
 from sassafrashold import clock as clock_lib
+from sassafrashold import dispatch
 from sassafrashold import process
 from sassafrashold import rpc
 from sassafrashold import search
 from sassafrashold import settings
 from sassafrashold import table as table_lib
 from sassafrashold import views
+from sassafrashold.entry import _claims
 from sassafrashold.entry import _dispatch_handler
 from sassafrashold.entry import _http
 from sassafrashold.entry import _readiness
@@ -43,13 +45,16 @@
 class PlatformParts:
     """What the daemon needs of the platform."""
 
-    dispatcher: _sender.DispatchRunner
+    dispatcher: dispatch.Dispatcher
     """Runs dispatches under claims."""
 
+    delete_claims: _claims.DeleteBatch
+    """Deletes a batch of expired claims."""
+
     gateway: Mapping[str, rpc.Handler]
     """Methods that the local control calls."""
 
-    close: Callable[[], Awaitable[None]] | None = None
+    close: Callable[[], Awaitable[None]]
     """Called at the end."""
 
 
@@ -118,6 +123,13 @@
                 tasks.create_task(self.feed.run()),
                 tasks.create_task(self.gate.watch_lag()),
                 tasks.create_task(self._tidy()),
+                tasks.create_task(
+                    _claims.clean_up(
+                        lambda: self.feed.current,
+                        self._values.host,
+                        self._platform.delete_claims,
+                    )
+                ),
             ]
             try:
                 self.thrift_address = await server.start(
@@ -194,9 +206,18 @@
         await asyncio.sleep(self._values.balancer_ms / 1000)
         await site.stop()
         self._http.is_refusing = True
+        drain_time = clock_lib.from_ms(self._values.drain_ms)
+        end = self._clock.monotonic() + drain_time
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self._values.drain_ms / 1000):
+            async with asyncio.timeout(drain_time.total_seconds()):
                 await self._http.wait_idle()
+        left = max(end - self._clock.monotonic(), datetime.timedelta())
+        lost = await self._platform.dispatcher.drain(left)
+        if lost:
+            _LOGGER.warning(
+                "results of dispatches were not recorded",
+                extra={"records": lost},
+            )
         if self._http.under_way:
             _LOGGER.warning(
                 "requests are cut off at the end of the drain time",
@@ -232,8 +253,7 @@
         await self._control.close()
         await self._owner.close()
         await self._pool.close()
-        if self._platform.close is not None:
-            await self._platform.close()
+        await self._platform.close()
         self._tracer.shutdown()
 
 
--- a/src/sassafrashold/entry/_dispatch_handler.py
+++ b/src/sassafrashold/entry/_dispatch_handler.py
@@ -9,6 +9,7 @@
 
 from sassafrashold import admission
 from sassafrashold import clock as clock_lib
+from sassafrashold import dispatch
 from sassafrashold import errors
 from sassafrashold import table as table_lib
 from sassafrashold import telemetry
@@ -20,6 +21,8 @@
 from sassafrashold.entry import _sender
 from sassafrashold.telemetry import tracing
 
+_ATTEMPT_HEADER = "Idempotency-Attempt"
+
 
 class DispatchHandler:
     """Answers `POST /v1/services/{service}/dispatch`.
@@ -32,7 +35,7 @@
         self,
         feed: views.Feed,
         gate: admission.Gate,
-        dispatcher: _sender.DispatchRunner,
+        dispatcher: dispatch.Dispatcher,
         sender: _sender.Sender,
         clock: clock_lib.Clock,
         tracer: tracing.Tracer,
@@ -59,6 +62,15 @@
         while self._tasks:
             await asyncio.wait(self._tasks)
 
+    def draining(self, request: web.Request) -> web.Response:
+        """Refuses a dispatch of a process that shuts down."""
+        error = errors.DispatchError(
+            errors.ErrorCode.DRAINING, "this host is shutting down"
+        )
+        # A malformed header states nothing.
+        first = request.headers.get(_ATTEMPT_HEADER) == "1"
+        return _responses.refusal(_about_key(error, first), "")
+
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Answers one request."""
         record = _recent.RequestRecord(
@@ -92,15 +104,17 @@
     async def _checked(
         self, request: web.Request, record: _recent.RequestRecord
     ) -> tuple[_sender.DispatchCall, table_lib.ServiceRow]:
+        key = dispatch.check_key(request.headers.get("Idempotency-Key", ""))
+        first = _inputs.is_first_attempt(request.headers.get(_ATTEMPT_HEADER))
         table = self._feed.current.table
         if table is None:
-            raise errors.DispatchError(
+            error = errors.DispatchError(
                 errors.ErrorCode.NOT_READY, "the table is not known yet"
             )
+            raise _about_key(error, first)
         row = _inputs.service_row(
             table, record.service, table_lib.Kind.DISPATCH
         )
-        key = _inputs.idempotency_key(request.headers.get("Idempotency-Key"))
         values = _inputs.dispatch(await _bodies.read(request), row)
         record.deadline_ms = values.deadline_ms
         record.priority_class = row.priority_class
@@ -108,6 +122,7 @@
             record.request_id,
             row.service,
             key,
+            first,
             values.body,
             record.received + clock_lib.from_ms(values.deadline_ms),
         )
@@ -136,9 +151,13 @@
                     lambda claim_id: self._sender.send(
                         call, row, claim_id, sends, traceparent
                     ),
+                    is_first_attempt=call.is_first_attempt,
                 )
                 admitted.answered = not outcome.replayed
-        except errors.SassafrasError as error:
+        except errors.SassafrasError as caught:
+            error = caught
+            if isinstance(caught, errors.AdmissionError):
+                error = _about_key(caught, call.is_first_attempt)
             self._finish(record, started, error)
             return _responses.refusal(
                 error, record.request_id, traceparent=traceparent
@@ -166,3 +185,22 @@
         self._metrics.timing("dispatch.time", elapsed)
         if error is not None:
             self._metrics.count(f"dispatch.refused.{error.code.value}")
+
+
+def _about_key(
+    error: errors.SassafrasError, is_first_attempt: bool
+) -> errors.SassafrasError:
+    """Returns a refusal that speaks about the key, over all attempts.
+
+    Before this host holds the claim it cannot know whether an earlier attempt
+    ran, unless the caller states that there was none.
+    """
+    if is_first_attempt:
+        return error
+    return errors.DispatchError(
+        error.code,
+        error.message,
+        ran=errors.Ran.OUTCOME_UNKNOWN,
+        field=error.field,
+        retry_after=error.retry_after,
+    )
--- a/src/sassafrashold/entry/_http.py
+++ b/src/sassafrashold/entry/_http.py
@@ -87,17 +87,17 @@
         self, request: web.Request, handler: _HttpHandler
     ) -> web.StreamResponse:
         if self.is_refusing and request.method == "POST":
-            return _responses.refusal(
-                errors.SassafrasError(
-                    errors.ErrorCode.DRAINING, "this host is shutting down"
-                ),
-                "",
+            if request.path.endswith("/dispatch"):
+                return self._dispatches.draining(request)
+            error = errors.SearchError(
+                errors.ErrorCode.DRAINING, "this host is shutting down"
             )
+            return _responses.refusal(error, "")
         try:
             return await handler(request)
-        except web.HTTPException as error:
+        except web.HTTPException as caught:
             return _responses.refusal(
-                _of_http(request, error), "", error.status
+                _of_http(request, caught), "", caught.status
             )
         except (asyncio.CancelledError, ConnectionError):
             self._metrics.count("entry.callers_left")
--- a/src/sassafrashold/entry/_inputs.py
+++ b/src/sassafrashold/entry/_inputs.py
@@ -13,7 +13,7 @@
 MAX_BODY_BYTES = 1_000_000
 DEADLINE_MAX_MS = 60_000
 _IDENTIFIER = re.compile(r"^[A-Za-z0-9._:-]{1,128}$")
-_KEY = re.compile(r"^[\x21-\x7e]{1,200}$")
+_ATTEMPT = re.compile(r"^[1-9][0-9]{0,3}$")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -62,23 +62,17 @@
     return header
 
 
-def idempotency_key(header: str | None) -> str:
-    """Returns the key of a dispatch.
+def is_first_attempt(header: str | None) -> bool:
+    """Returns whether the caller states that a key was never sent before.
 
     Raises:
-        SassafrasError: KEY_MISSING or BAD_REQUEST.
+        SassafrasError: BAD_REQUEST, the header is malformed.
     """
-    if header is None:
-        raise errors.DispatchError(
-            errors.ErrorCode.KEY_MISSING,
-            "a dispatch needs the header Idempotency-Key",
-            field="Idempotency-Key",
-        )
-    if not _KEY.match(header):
+    if header is not None and not _ATTEMPT.match(header):
         raise bad_request(
-            "Idempotency-Key", "expected 1 to 200 printable ASCII characters"
+            "Idempotency-Attempt", "expected a whole number from 1 to 9999"
         )
-    return header
+    return header == "1"
 
 
 def service_row(
--- a/src/sassafrashold/entry/_sender.py
+++ b/src/sassafrashold/entry/_sender.py
@@ -1,13 +1,10 @@
 """Sends a claimed dispatch to one leaf, through the owner of the leaf."""
 
 import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
 import dataclasses
 import datetime
 import random
 from typing import Any
-from typing import Protocol
 
 from opentelemetry import trace
 
@@ -20,35 +17,6 @@
 from sassafrashold.telemetry import tracing
 
 
-class DispatchOutcome(Protocol):
-    """The result of a dispatch, as `dispatch.Outcome`."""
-
-    @property
-    def result(self) -> bytes:
-        """JSON of the leaf."""
-        ...
-
-    @property
-    def replayed(self) -> bool:
-        """Whether it is the recorded result of an earlier request."""
-        ...
-
-
-class DispatchRunner(Protocol):
-    """Runs a dispatch under a claim, as `dispatch.Dispatcher`."""
-
-    async def run(
-        self,
-        service: str,
-        key: str,
-        body: bytes,
-        deadline: datetime.datetime,
-        send: Callable[[str], Awaitable[bytes]],
-    ) -> DispatchOutcome:
-        """Claims the key, sends once, and records the outcome."""
-        ...
-
-
 @dataclasses.dataclass(frozen=True)
 class DispatchCall:
     """One checked dispatch."""
@@ -62,6 +30,9 @@
     key: str
     """Idempotency key."""
 
+    is_first_attempt: bool
+    """Whether the caller states that the key was never sent before."""
+
     body: bytes
     """JSON for the leaf."""
 
--- a/src/sassafrashold/entry/main.py
+++ b/src/sassafrashold/entry/main.py
@@ -1,48 +1,35 @@
 """The binary `sassafras-entry`."""
 
 import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
-import datetime
 
-from sassafrashold import clock
-from sassafrashold import errors
+from sassafrashold import clock as clock_lib
+from sassafrashold import dispatch
 from sassafrashold import platform
 from sassafrashold import process
 from sassafrashold.entry import _daemon
-from sassafrashold.entry import _sender
 from sassafrashold.entry import _settings
 from sassafrashold.platform import http
 
 
-class _NoDispatcher:
-    """Stands in until the dispatch package is there."""
-
-    async def run(
-        self,
-        service: str,
-        key: str,
-        body: bytes,
-        deadline: datetime.datetime,
-        send: Callable[[str], Awaitable[bytes]],
-    ) -> _sender.DispatchOutcome:
-        """Refuses each dispatch."""
-        raise errors.DispatchError(
-            errors.ErrorCode.STORE_UNAVAILABLE, "dispatches are not served yet"
-        )
-
-
 async def _run(
     values: _settings.EntrySettings, stopping: asyncio.Event
 ) -> None:
-    system_clock = clock.SystemClock()
-    client = http.HttpPlatform(values.platform, system_clock)
+    clock = clock_lib.SystemClock()
+    client = http.HttpPlatform(values.platform, clock)
+
+    async def delete_claims(start_key: str) -> str | None:
+        result = await dispatch.delete_expired(
+            client, clock, start_key=start_key
+        )
+        return result.next_key
+
     parts = _daemon.PlatformParts(
-        _NoDispatcher(),
+        dispatch.Dispatcher(client, values.host, clock),
+        delete_claims,
         platform.gateway_handlers(client, client),
         client.close,
     )
-    await _daemon.Daemon(values, system_clock, parts).run(stopping)
+    await _daemon.Daemon(values, clock, parts).run(stopping)
 
 
 main = process.command("entry", _settings.EntrySettings, _run)
