--- a/src/sassafrashold/entry/main.py
+++ b/src/sassafrashold/entry/main.py
@@ -1,9 +1,8 @@
 """The binary `sassafras-entry`."""
 
 import asyncio
-import datetime
 
-from sassafrashold import clock
+from sassafrashold import clock as clock_lib
 from sassafrashold import dispatch
 from sassafrashold import platform
 from sassafrashold import process
@@ -11,25 +10,26 @@
 from sassafrashold.entry import _settings
 from sassafrashold.platform import http
 
-# Time for the results of finished dispatches to be recorded at the end.
-_RECORD_TIMEOUT = datetime.timedelta(seconds=2)
-
 
 async def _run(
     values: _settings.EntrySettings, stopping: asyncio.Event
 ) -> None:
-    system_clock = clock.SystemClock()
-    client = http.HttpPlatform(values.platform, system_clock)
-    dispatcher = dispatch.Dispatcher(client, values.host, system_clock)
+    clock = clock_lib.SystemClock()
+    client = http.HttpPlatform(values.platform, clock)
 
-    async def close() -> None:
-        await dispatcher.drain(_RECORD_TIMEOUT)
-        await client.close()
+    async def delete_claims(start_key: str) -> str | None:
+        result = await dispatch.delete_expired(
+            client, clock, start_key=start_key
+        )
+        return result.next_key
 
     parts = _daemon.PlatformParts(
-        dispatcher, platform.gateway_handlers(client, client), close
+        dispatch.Dispatcher(client, values.host, clock),
+        delete_claims,
+        platform.gateway_handlers(client, client),
+        client.close,
     )
-    await _daemon.Daemon(values, system_clock, parts).run(stopping)
+    await _daemon.Daemon(values, clock, parts).run(stopping)
 
 
 main = process.command("entry", _settings.EntrySettings, _run)
