--- a/src/sassafrashold/standins/demo.py
+++ b/src/sassafrashold/standins/demo.py
@@ -10,7 +10,6 @@
 import dataclasses
 import json
 import pathlib
-import shutil
 import sys
 import tempfile
 import time
@@ -29,6 +28,8 @@
 _ZONE_BOUND_S = 4.0
 _WATCH_S = 3.0
 _MAX_OUTPUT_LINES = 25
+_EXIT_FAILED = 1
+_EXIT_INTERRUPTED = 130
 _SEARCH_SERVICES = ("almanac", "records")
 _DISPATCH_SERVICE = "guichet"
 _CTL = "from sassafrashold.ctl.main import main; main()"
@@ -276,21 +277,27 @@
 )
 def main(directory: pathlib.Path | None) -> None:
     """Runs the demo; exits 0 if every step went as it should."""
-    kept = directory is not None
-    if directory is None:
-        directory = pathlib.Path(tempfile.mkdtemp(prefix="sassafras-demo-"))
+    if directory is not None:
+        sys.exit(_run_and_report(directory))
+    with tempfile.TemporaryDirectory(prefix="sassafras-demo-") as temporary:
+        sys.exit(_run_and_report(pathlib.Path(temporary)))
+
+
+def _run_and_report(directory: pathlib.Path) -> int:
+    """Runs the demo; returns the exit code."""
     try:
         left = asyncio.run(_run(directory))
     except (RuntimeError, TimeoutError) as error:
-        click.echo(f"failed: {error}\nlogs: {directory}/logs", err=True)
-        sys.exit(1)
+        click.echo(f"failed: {error}; --directory keeps the logs", err=True)
+        return _EXIT_FAILED
     except (KeyboardInterrupt, asyncio.CancelledError):
         click.echo("interrupted; all processes have ended", err=True)
-        sys.exit(130)
-    _require(not left, f"processes are left: {left}")
+        return _EXIT_INTERRUPTED
+    if left:
+        click.echo(f"processes are left: {left}", err=True)
+        return _EXIT_FAILED
     _say("no process is left")
-    if not kept:
-        shutil.rmtree(directory)
+    return 0
 
 
 if __name__ == "__main__":
