--- a/src/sassafrashold/table/_editor.py
+++ b/src/sassafrashold/table/_editor.py
@@ -74,9 +74,12 @@
         self._new_id = new_id
         self._races = races
         self._resolution = resolution
+        # Newest version that this editor knows of. An older, stale read would
+        # make its own last edit look like that of a rival.
+        self._known_version = 0
 
-    async def read(self, at_least: int = 0) -> Read:
-        """Returns the table, at a version that is not below `at_least`.
+    async def read(self) -> Read:
+        """Returns the table, not older than this editor has seen it before.
 
         Raises:
             StoreError: STORE_UNAVAILABLE; the store fails or reads are stale.
@@ -84,15 +87,17 @@
         """
         for attempt in range(1, self._resolution.attempts + 1):
             stored = await self._store.get(_table.TABLE_KEY)
-            if stored is None and at_least == 0:
+            if stored is None and self._known_version == 0:
                 return Read(_table.Table(), 0)
-            if stored is not None and stored.version >= at_least:
+            if stored is not None and stored.version >= self._known_version:
+                self._known_version = stored.version
                 return Read(_table.Table.decode(stored.value), stored.version)
             delay = self._resolution.delay(attempt)
             await asyncio.sleep(delay.total_seconds())
         raise errors.StoreError(
             errors.ErrorCode.STORE_UNAVAILABLE,
-            f"{_table.TABLE_KEY!r}: reads are older than version {at_least}",
+            f"{_table.TABLE_KEY!r}: reads are older than version "
+            f"{self._known_version}",
         )
 
     async def history(self) -> tuple[_history.Revision, ...]:
@@ -139,22 +144,22 @@
             accepted = await self._try(
                 found, dataclasses.replace(edit, cells=cells)
             )
-            if isinstance(accepted, Accepted):
+            if accepted is not None:
                 return accepted
             delay = self._races.delay(attempt)
             await asyncio.sleep(delay.total_seconds())
-            found = await self.read(at_least=accepted)
+            found = await self.read()
         raise errors.StoreError(
             errors.ErrorCode.STORE_UNAVAILABLE,
             f"the table changed {self._races.attempts} times during the edit",
         )
 
-    async def _try(self, base: Read, edit: _table.Edit) -> Accepted | int:
+    async def _try(self, base: Read, edit: _table.Edit) -> Accepted | None:
         """Sends one conditional update.
 
         Returns:
-            The accepted edit, or the version that another edit made; this one
-            then certainly did not take effect.
+            The accepted edit; None if another edit came first, and this one
+            certainly did not take effect.
         """
         trimmed = await _history.without_old_edits(
             self._store, base.table, self._clock, self._resolution
@@ -171,12 +176,14 @@
                 backoff=self._resolution,
             )
         except errors.StoreConflictError as error:
-            return error.found
+            self._known_version = max(self._known_version, error.found)
+            return None
+        self._known_version = max(self._known_version, stored.version)
         found = _table.Table.decode(stored.value)
         if not found.has_edit(edit.edit_id) and not await self._archived(
             edit, table.revision
         ):
-            return stored.version
+            return None
         return Accepted(found, stored.version, table.revision, edit)
 
     async def _archived(self, edit: _table.Edit, revision: int) -> bool:
