--- a/src/sassafrashold/entry/_sender.py
+++ b/src/sassafrashold/entry/_sender.py
@@ -1,13 +1,12 @@
 """Sends a claimed dispatch to one leaf, through the owner of the leaf."""
 
 import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
 import dataclasses
 import datetime
 import random
 from typing import Any
-from typing import Protocol
+
+from opentelemetry import trace
 
 from sassafrashold import clock as clock_lib
 from sassafrashold import errors
@@ -15,35 +14,7 @@
 from sassafrashold import search
 from sassafrashold import table as table_lib
 from sassafrashold import wire
-
-
-class DispatchOutcome(Protocol):
-    """The result of a dispatch, as `dispatch.Outcome`."""
-
-    @property
-    def result(self) -> bytes:
-        """JSON of the leaf."""
-        ...
-
-    @property
-    def replayed(self) -> bool:
-        """Whether it is the recorded result of an earlier request."""
-        ...
-
-
-class DispatchRunner(Protocol):
-    """Runs a dispatch under a claim, as `dispatch.Dispatcher`."""
-
-    async def run(
-        self,
-        service: str,
-        key: str,
-        body: bytes,
-        deadline: datetime.datetime,
-        send: Callable[[str], Awaitable[bytes]],
-    ) -> DispatchOutcome:
-        """Claims the key, sends once, and records the outcome."""
-        ...
+from sassafrashold.telemetry import tracing
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,6 +30,9 @@
     key: str
     """Idempotency key."""
 
+    is_first_attempt: bool
+    """Whether the caller states that the key was never sent before."""
+
     body: bytes
     """JSON for the leaf."""
 
@@ -74,8 +48,10 @@
         searcher: search.Searcher,
         pool: rpc.Pool,
         clock: clock_lib.Clock,
+        tracer: tracing.Tracer,
         random_source: random.Random | None = None,
     ) -> None:
+        self._tracer = tracer
         self._searcher = searcher
         self._pool = pool
         self._clock = clock
@@ -155,21 +131,16 @@
                 f"no owner is known for leaf {replica.leaf_id}",
             )
         margin = search.margin_of(call.deadline - self._clock.now())
-        reply = await self._pool.get(owner).call(
-            "dispatch",
-            wire.encode(
-                wire.messages.DispatchRequest(
-                    request_id=call.request_id,
-                    service_name=call.service,
-                    idempotency_key=call.key,
-                    claim_id=claim_id,
-                    leaf=replica.leaf_id,
-                    body=call.body,
-                )
-            ),
-            deadline=call.deadline - margin,
-            traceparent=traceparent,
-        )
+        with self._tracer.span(
+            "dispatch.send", traceparent, trace.SpanKind.CLIENT
+        ) as span:
+            span.set_attribute("peer", str(owner))
+            reply = await self._pool.get(owner).call(
+                "dispatch",
+                _encode(call, replica, claim_id),
+                deadline=call.deadline - margin,
+                traceparent=tracing.header_of(span),
+            )
         try:
             result: bytes = wire.decode(
                 wire.messages.DispatchReply, reply
@@ -212,3 +183,18 @@
         if self._clock.now() + delay >= call.deadline:
             raise error
         await asyncio.sleep(delay.total_seconds())
+
+
+def _encode(
+    call: DispatchCall, replica: search.Replica, claim_id: str
+) -> bytes:
+    return wire.encode(
+        wire.messages.DispatchRequest(
+            request_id=call.request_id,
+            service_name=call.service,
+            idempotency_key=call.key,
+            claim_id=claim_id,
+            leaf=replica.leaf_id,
+            body=call.body,
+        )
+    )
