Let freshness and promises travel on the tree of members

With random exchanges alone, members of a zone of 61 hosts looked suspect or gone to each other: in 20 s the lease was written 74 times and 2% of the entitlements had no evidence. Each member now asks its parent and children in the tree every 500 ms; descriptions and leases are parsed once.

--- a/src/sassafrashold/control/_daemon.py
+++ b/src/sassafrashold/control/_daemon.py
@@ -7,7 +7,7 @@
 import dataclasses
 import logging
 import random
-import uuid
+import secrets
 
 from sassafrashold import clock as clock_lib
 from sassafrashold import errors
@@ -27,7 +27,7 @@
 _LOGGER = logging.getLogger(__name__)
 
 _LEASE_STEP_S = 0.2
-_EVIDENCE_S = 0.5
+_TREE_S = 0.5
 _OTHER_ZONE_S = 2.0
 _SHARDMAPS_S = 1.0
 _OTHER_LEASES_S = 5.0
@@ -83,7 +83,9 @@
         # The start counts from here: a previous process of this host that
         # was only paused would still hold the port.
         values = dataclasses.replace(self._values, listen=address)
-        self.node = _node.Node(values, self._clock, lambda: uuid.uuid4().hex)
+        self.node = _node.Node(
+            values, self._clock, lambda: secrets.token_hex(16)
+        )
         self._peers = _peers.Peers(self.node, self._clock, self._random)
         handlers = _handlers.Handlers(self.node, self._peers)
         self._handlers = handlers.by_method()
@@ -119,7 +121,7 @@
         for step, seconds in (
             (writer.step, _LEASE_STEP_S),
             (self._gossip_in_zone, interval),
-            (self._pull_evidence, _EVIDENCE_S),
+            (self._pull_on_tree, _TREE_S),
             (self._gossip_with_other_zone, _OTHER_ZONE_S),
             (readers.read_shardmaps, _SHARDMAPS_S),
             (readers.read_other_leases, _OTHER_LEASES_S),
@@ -180,9 +182,8 @@
         if address is not None:
             self._peers.start(self._peers.exchange(address))
 
-    async def _pull_evidence(self) -> None:
-        for address in self._peers.evidence_peers():
-            self._peers.start(self._peers.pull_evidence(address))
+    async def _pull_on_tree(self) -> None:
+        self._peers.pull_on_tree()
 
     async def _gossip_with_other_zone(self) -> None:
         address = self._peers.other_zone_peer()
--- a/src/sassafrashold/control/_digest.py
+++ b/src/sassafrashold/control/_digest.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 import datetime
+import functools
 from typing import Any
 
 from sassafrashold import membership
@@ -41,9 +42,7 @@
     """
     message = _message(node)
     if members:
-        message.known_members = [
-            entry.description.digest for entry in node.members.entries()
-        ]
+        message.known_members = node.members.digests()
     message.objects = [
         wire.messages.ObjectVersion(key=key, version=node.objects.version(key))
         for key in changed_keys
@@ -52,15 +51,30 @@
     return message
 
 
-def evidence_request(node: _node.Node) -> Any:
-    """Returns a request for the proofs of the epoch only."""
+def evidence_request(
+    node: _node.Node, *, below: str | None = None, all_members: bool = False
+) -> Any:
+    """Returns a request for the proofs of the epoch.
+
+    Args:
+        node: The state of this process.
+        below: A host whose part of the tree is asked for.
+        all_members: Whether to ask for all members that need no full entry.
+    """
+    known = None
+    if below is not None:
+        hosts = (below, *node.tree(below).children)
+        entries = [node.members.get(host) for host in hosts]
+        known = [e.description.digest for e in entries if e is not None]
     return wire.messages.GossipMessage(
         sender=node.settings.host,
         zone=node.settings.zone,
         members=[],
+        known_members=known,
         objects=[],
         epoch=node.lease.epoch,
         evidence_only=True,
+        all_members=all_members,
     )
 
 
@@ -71,20 +85,13 @@
     full. Object versions are sent only if they differ.
     """
     if asked.evidence_only:
-        return _evidence_answer(node)
+        return _evidence_answer(node, asked)
     message = _message(node)
     _add_proofs(node, message)
     if asked.zone == node.settings.zone:
-        known = frozenset(asked.known_members or ())
-        compact = []
-        for entry in node.members.entries():
-            if entry.proven is None or entry is node.members.own:
-                continue
-            if _is_compact(node, entry, known):
-                compact.append(entry)
-            else:
-                message.members.append(_to_wire(entry, node.now()))
-        _add_known(node, message, compact)
+        own = node.members.own
+        entries = [e for e in node.members.entries() if e is not own]
+        _add_members(node, message, entries, asked)
     message.objects_digest = node.objects.digest()
     if asked.objects_digest != message.objects_digest:
         message.objects = [
@@ -162,23 +169,43 @@
     )
 
 
-def _evidence_answer(node: _node.Node) -> Any:
-    """Returns the proofs, and the promises of the hosts below in the tree."""
+def _evidence_answer(node: _node.Node, asked: Any) -> Any:
+    """Returns the proofs, and the members that are asked for."""
     node.refresh()
     message = evidence_request(node)
+    message.evidence_only = False
     _add_proofs(node, message)
-    hosts = (node.settings.host, *node.tree().children)
-    entries = [
-        entry
-        for host in hosts
-        if (entry := node.members.get(host)) is not None
-        and entry.proven is not None
-        and entry.released_epoch == message.epoch
-    ]
-    _add_known(node, message, entries)
+    entries = []
+    if asked.all_members:
+        entries = [e for e in node.members.entries() if _fits(node, e)]
+    elif asked.known_members is not None:
+        hosts = (node.settings.host, *node.tree().children)
+        found = [node.members.get(host) for host in hosts]
+        entries = [entry for entry in found if entry is not None]
+    _add_members(node, message, entries, asked)
     return message
 
 
+def _add_members(
+    node: _node.Node,
+    message: Any,
+    entries: Iterable[membership.Entry],
+    asked: Any,
+) -> None:
+    """Adds members, in the compact form where the asker understands it."""
+    known = frozenset(asked.known_members or ())
+    compact = []
+    for entry in entries:
+        if entry.proven is None:
+            continue
+        is_known = asked.all_members or entry.description.digest in known
+        if is_known and _fits(node, entry):
+            compact.append(entry)
+        else:
+            message.members.append(_to_wire(entry, node.now()))
+    _add_known(node, message, compact)
+
+
 def _add_proofs(node: _node.Node, message: Any) -> None:
     now = node.now()
     renewed = node.lease.renewal_time()
@@ -208,17 +235,14 @@
     message.promise_ages_ms = promise_ages
 
 
-def _is_compact(
-    node: _node.Node, entry: membership.Entry, known: frozenset[int]
-) -> bool:
+def _fits(node: _node.Node, entry: membership.Entry) -> bool:
     """Returns whether the compact form says everything about an entry."""
     epoch = node.lease.epoch
-    digest = entry.description.digest
+    description = entry.description
     return (
-        digest in known
-        and node.members.description(digest) == entry.description
-        and entry.released_epoch == epoch
+        entry.released_epoch == epoch
         and (entry.promise is None or entry.promise.epoch <= epoch)
+        and node.members.description(description.digest) == description
     )
 
 
@@ -268,16 +292,39 @@
     )
 
 
+# Descriptions rarely change, and parsing one costs more than the rest of an
+# entry.
+@functools.lru_cache(maxsize=512)
+def _description(
+    host: str,
+    zone: str,
+    incarnation: str,
+    state: int,
+    control: str,
+    owner: str,
+    entry: str,
+) -> membership.Description:
+    return membership.Description(
+        host,
+        zone,
+        incarnation,
+        _STATE_FROM_WIRE[state],
+        settings.Address.parse(control),
+        settings.Address.parse(owner),
+        settings.Address.parse(entry),
+    )
+
+
 def _from_wire(member: Any) -> membership.Report:
     try:
-        description = membership.Description(
+        description = _description(
             member.host,
             member.zone,
             member.incarnation,
-            _STATE_FROM_WIRE[member.state],
-            settings.Address.parse(member.control),
-            settings.Address.parse(member.owner),
-            settings.Address.parse(member.entry),
+            member.state,
+            member.control,
+            member.owner,
+            member.entry,
         )
     except (KeyError, ValueError) as error:
         raise DigestError(f"member {member.host!r}: {error}") from error
--- a/src/sassafrashold/control/_node.py
+++ b/src/sassafrashold/control/_node.py
@@ -51,6 +51,8 @@
         """The local owner process."""
         self.up_to_date_source: str | None = None
         """Where the first full set of objects came from."""
+        self._ranked: tuple[str, ...] = ()
+        self._ranking_of_fresh: list[str] = []
         self.lease_key = lease.lease_key(values.zone)
         """Key of the own zone's lease."""
 
@@ -121,13 +123,33 @@
         ranking = self._ranking()
         return not ranking or self.settings.host in ranking[:count]
 
-    def tree(self) -> membership.TreePlace:
-        """Returns this host's place in the tree that evidence travels on.
+    def tree(self, host: str | None = None) -> membership.TreePlace:
+        """Returns a host's place in the tree that evidence travels on.
 
         The member that renews is the root, so a renewal reaches 61 hosts in
-        two steps, and no host answers more than 8 others.
+        two steps, and no host asks or answers more than 8 others.
+
+        Args:
+            host: The host; this one if it is None.
         """
-        return membership.tree_place(self.settings.host, self._ranking())
+        return membership.tree_place(
+            host or self.settings.host, self._ranking()
+        )
+
+    def outsiders(self) -> list[str]:
+        """Returns the fresh hosts that serve but are not members."""
+        known = self.lease.lease
+        now = self.now()
+        return [
+            entry.description.host
+            for entry in self.members.entries()
+            if entry.description.state is membership.State.SERVING
+            and (
+                known is None
+                or entry.description.host not in known.member_by_host
+            )
+            and self.members.is_fresh(entry.description.host, now)
+        ]
 
     def _ranking(self) -> list[str]:
         """Returns the fresh members by rendezvous hashing of the zone."""
@@ -135,14 +157,15 @@
         if known is None:
             return []
         now = self.now()
-        return membership.rank(
-            self.settings.zone,
-            [
-                host
-                for host in known.member_by_host
-                if self.members.is_fresh(host, now)
-            ],
+        fresh = tuple(
+            member.host
+            for member in known.members
+            if self.members.is_fresh(member.host, now)
         )
+        if fresh != self._ranked:
+            self._ranked = fresh
+            self._ranking_of_fresh = membership.rank(self.settings.zone, fresh)
+        return self._ranking_of_fresh
 
     def set_up_to_date(self, source: str) -> None:
         """Records that this host has all objects."""
--- a/src/sassafrashold/control/_peers.py
+++ b/src/sassafrashold/control/_peers.py
@@ -30,7 +30,7 @@
 # Peers that are told at once about a changed object, per zone.
 _FANOUT = 3
 
-_COLLECT_PROMISES_AFTER = datetime.timedelta(milliseconds=1500)
+_MAX_OUTSIDERS = 8
 
 
 @dataclasses.dataclass
@@ -79,6 +79,10 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._fetching: set[settings.Address] = set()
         self._probe_suspect = False
+        self._all_members = False
+        self._controls_by_key: dict[
+            str, tuple[int, list[settings.Address]]
+        ] = {}
         self.traffic = Traffic()
         """Counters for `status`."""
 
@@ -113,25 +117,43 @@
             fresh = suspect or fresh
         return self._random.choice(fresh) if fresh else None
 
-    def evidence_peers(self) -> list[settings.Address]:
-        """Returns whom to ask for proofs of the epoch.
+    def pull_on_tree(self) -> None:
+        """Asks the neighbours in the tree for proofs and members.
 
-        That is the parent in the tree, and the children only while there are
-        no renewals: their promises then travel up the tree, and the proof that
-        the root makes of them travels down. Random exchanges alone bring a
-        promise from 61 hosts too late for L.
+        Freshness and promises travel up the tree; proofs and all members
+        travel down. Random exchanges alone bring them from 61 hosts too late
+        for L and for failure detection. The root also asks the newcomers, and
+        a newcomer exchanges with the root.
         """
         node = self._node
-        known = node.lease.lease
-        if known is None:
-            return []
         place = node.tree()
-        renewed = node.lease.renewal_time()
-        hosts = [place.parent]
-        if renewed is None or node.now() - renewed > _COLLECT_PROMISES_AFTER:
-            hosts += place.children
-        members = known.member_by_host
-        return [members[h].control for h in hosts if h is not None]
+        self._all_members = not self._all_members
+        controls = self._zone_controls()
+        known = node.lease.lease
+        if known is None or place.parent is None:
+            below: tuple[str, ...] = ()
+        elif node.settings.host not in known.member_by_host:
+            self.start(self.exchange(controls[place.parent]))
+            return
+        else:
+            below = place.children
+            request = _digest.evidence_request(
+                node, all_members=self._all_members
+            )
+            self._start_pull(controls, place.parent, request)
+        if node.is_reader(1):
+            outsiders = node.outsiders()
+            count = min(_MAX_OUTSIDERS, len(outsiders))
+            below += tuple(self._random.sample(outsiders, count))
+        for host in below:
+            request = _digest.evidence_request(node, below=host)
+            self._start_pull(controls, host, request)
+
+    def _start_pull(
+        self, controls: dict[str, settings.Address], host: str, request: Any
+    ) -> None:
+        if host in controls:
+            self.start(self._gossip(controls[host], request))
 
     def other_zone_peer(
         self, zone: str | None = None
@@ -178,10 +200,6 @@
         if complete and _is_up_to_date(message):
             self._node.set_up_to_date(f"peer {message.sender}")
 
-    async def pull_evidence(self, address: settings.Address) -> None:
-        """Asks only for the age of the last renewal."""
-        await self._gossip(address, _digest.evidence_request(self._node))
-
     async def fetch_newer(
         self, address: settings.Address, message: Any
     ) -> bool:
@@ -323,17 +341,24 @@
 
     def _other_zone_controls(self, zone: str | None) -> list[settings.Address]:
         zones = self._other_zones() if zone is None else [zone]
-        addresses = []
-        for name in zones:
-            stored = self._node.objects.get(lease.lease_key(name))
-            if stored is None:
-                continue
-            try:
-                document = lease.ZoneLease.decode(stored.value)
-            except errors.DocumentError:
-                continue
-            addresses += [member.control for member in document.members]
-        return addresses
+        return [address for name in zones for address in self._controls(name)]
+
+    def _controls(self, zone: str) -> list[settings.Address]:
+        """Returns the control addresses of a zone; parses a lease once."""
+        key = lease.lease_key(zone)
+        stored = self._node.objects.get(key)
+        if stored is None:
+            return []
+        cached = self._controls_by_key.get(key)
+        if cached is not None and cached[0] == stored.version:
+            return cached[1]
+        try:
+            document = lease.ZoneLease.decode(stored.value)
+        except errors.DocumentError:
+            return []
+        controls = [member.control for member in document.members]
+        self._controls_by_key[key] = (stored.version, controls)
+        return controls
 
 
 def _is_up_to_date(message: Any) -> bool:
--- a/src/sassafrashold/control/tests/world.py
+++ b/src/sassafrashold/control/tests/world.py
@@ -168,16 +168,20 @@
                 host,
                 host.node,
                 peer,
-                (
-                    _digest.evidence_request(host.node)
-                    if chance.random() < 0.3
-                    else _digest.request(host.node, members=True)
-                ),
+                self._request(host.node, peer.name, chance),
                 host.node.now(),
                 self.now + STEP * chance.choice((0, 0, 1, 3, 10)),
             )
         )
 
+    def _request(self, node, peer, chance):
+        kind = chance.randrange(4)
+        if kind == 0:
+            return _digest.evidence_request(node, all_members=True)
+        if kind == 1:
+            return _digest.evidence_request(node, below=peer)
+        return _digest.request(node, members=True)
+
     def _move_exchanges(self, chance):
         for exchange in list(self.exchanges):
             if self.now < exchange.due:
--- a/src/sassafrashold/lease/_proposal.py
+++ b/src/sassafrashold/lease/_proposal.py
@@ -10,6 +10,11 @@
 
 _NOT_SERVING_AFTER = datetime.timedelta(seconds=2)
 
+# A member that is about to be removed makes no promises any more, so the others
+# need not keep theirs up. A shorter time would give up evidence for hosts that
+# are only slow.
+_PREPARE_AFTER = datetime.timedelta(seconds=4)
+
 # A member that hears less than half of the members may itself be cut off. It
 # waits, so that the larger part removes it first.
 _MINORITY_DELAY = datetime.timedelta(seconds=15)
@@ -23,7 +28,7 @@
     """Members of the next epoch, ordered by host id."""
 
     certain: bool
-    """False while members are only suspect and nothing else changes."""
+    """False while members are only close to their removal."""
 
 
 def wanted(situation: _release.Situation) -> Wanted | None:
@@ -39,7 +44,7 @@
     if members and members != situation.lease.members:
         return Wanted(members, True)
     suspect = any(
-        _silent_for(situation, member.host) > membership.SUSPECT_AFTER
+        _silent_for(situation, member.host) > _PREPARE_AFTER
         for member in situation.lease.members
     )
     return Wanted(situation.lease.members, False) if suspect else None
--- a/src/sassafrashold/lease/_state.py
+++ b/src/sassafrashold/lease/_state.py
@@ -15,11 +15,11 @@
 MAX_EARLIER = 8
 
 RENEW_INTERVAL = datetime.timedelta(seconds=1)
-# A renewal reaches the other members after one or two evidence pulls, so these
-# are above the interval by that delay. Otherwise the second member would renew
-# on every turn.
+# The second member renews when it has seen no renewal for 1 s, the others after
+# 2 s. A renewal reaches them after one or two pulls of about 600 ms each, and
+# its age includes that delay. Without it they would renew on every turn.
 _SECOND_RENEWS_AFTER = datetime.timedelta(milliseconds=1600)
-_OTHERS_RENEW_AFTER = datetime.timedelta(milliseconds=2200)
+_OTHERS_RENEW_AFTER = datetime.timedelta(milliseconds=2600)
 _RENEW_STAGGER = datetime.timedelta(milliseconds=100)
 _RENEW_MAX_STAGGER_RANK = 5
 
--- a/src/sassafrashold/membership/_members.py
+++ b/src/sassafrashold/membership/_members.py
@@ -51,6 +51,10 @@
         """Returns the current description with a hash, if there is one."""
         return self._description_by_digest.get(digest)
 
+    def digests(self) -> list[int]:
+        """Returns the hashes of all current descriptions."""
+        return list(self._description_by_digest)
+
     def put_own(self, entry: _entries.Entry) -> None:
         """Replaces the own entry; keeps `since` while nothing changes."""
         known = self.own
--- a/src/sassafrashold/membership/_rendezvous.py
+++ b/src/sassafrashold/membership/_rendezvous.py
@@ -27,10 +27,12 @@
     """Returns the place of a host in the tree of width 8 over a ranking.
 
     Args:
-        own: The host; one that is not ranked is below the last one.
+        own: The host; one that is not ranked is below the root.
         ranking: Hosts, the root first.
     """
-    position = ranking.index(own) if own in ranking else len(ranking)
+    if own not in ranking:
+        return TreePlace(next(iter(ranking), None), ())
+    position = ranking.index(own)
     up = 1 if position == 0 else (position - 1) // _TREE_WIDTH
     first = position * _TREE_WIDTH + 1
     return TreePlace(
--- /dev/null
+++ b/src/sassafrashold/membership/tests/test_merge_and_ages.py
@@ -0,0 +1,153 @@
+import dataclasses
+import datetime
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from sassafrashold import clock
+from sassafrashold import membership
+from sassafrashold import settings
+
+_ADDRESS = settings.Address("127.0.1.1", 8003)
+_DESCRIPTION = membership.Description(
+    "a",
+    "luzon-a",
+    "1",
+    membership.State.SERVING,
+    _ADDRESS,
+    _ADDRESS,
+    _ADDRESS,
+)
+
+
+def _s(seconds):
+    return datetime.timedelta(seconds=seconds)
+
+
+_TIMES = st.integers(0, 50).map(_s)
+_PROMISES = st.none() | st.builds(membership.Promise, st.integers(1, 3), _TIMES)
+
+
+@st.composite
+def _entries(draw):
+    description = dataclasses.replace(
+        _DESCRIPTION,
+        incarnation=draw(st.sampled_from(["1", "2"])),
+        state=draw(st.sampled_from(membership.State)),
+    )
+    heard = draw(_TIMES)
+    return membership.Entry(
+        description,
+        heard,
+        draw(st.sampled_from([None, heard])),
+        draw(_PROMISES),
+        draw(st.integers(0, 3)),
+        draw(_TIMES),
+    )
+
+
+def _distinct(entries):
+    """Whether no two entries tie, as reports of one host never do."""
+    return len({entry.heard for entry in entries}) == len(entries)
+
+
+@hypothesis.given(_entries(), _entries())
+def test_merge_does_not_depend_on_the_order(one, other):
+    hypothesis.assume(_distinct([one, other]))
+    assert membership.merge(one, other) == membership.merge(other, one)
+
+
+@hypothesis.given(_entries(), _entries())
+def test_merge_never_loses_a_promise_or_makes_an_entry_fresher(one, other):
+    merged = membership.merge(one, other)
+    assert merged.heard == max(one.heard, other.heard)
+    for entry in (one, other):
+        if entry.promise is not None:
+            assert merged.promise >= entry.promise
+        if entry.proven is not None and merged.proven is not None:
+            assert merged.proven <= max(one.heard, other.heard)
+    assert membership.merge(merged, one) == merged
+
+
+@hypothesis.given(_entries(), _entries())
+def test_a_proof_never_passes_to_another_description(one, other):
+    merged = membership.merge(one, other)
+    sources = [
+        entry.proven
+        for entry in (one, other)
+        if entry.description == merged.description
+    ]
+    assert merged.proven in [*sources, None]
+
+
+@pytest.mark.parametrize(
+    ("asked", "under_way_s", "age_s"), [(100, 0, 0), (100, 9, 2), (100, 30, 1)]
+)
+def test_the_delay_of_an_answer_never_makes_it_fresher(
+    asked, under_way_s, age_s
+):
+    report = membership.Report(_DESCRIPTION, _s(age_s), _s(age_s), 7, 7)
+    entry = membership.Entry.from_answer(
+        report, _s(asked), _s(asked + under_way_s)
+    )
+    assert (entry.heard, entry.proven, entry.promise) == (
+        _s(asked - age_s),
+        _s(asked - age_s),
+        membership.Promise(7, _s(asked - age_s)),
+    )
+
+
+def test_a_request_proves_nothing():
+    report = membership.Report(_DESCRIPTION, _s(0), _s(0), 7, 7)
+    entry = membership.Entry.from_request(report, _s(100))
+    assert (entry.proven, entry.promise) == (None, None)
+
+
+def test_a_host_that_is_long_gone_does_not_come_back_by_gossip():
+    members = membership.Members("b", "luzon-a")
+    old = membership.Entry(_DESCRIPTION, _s(0), _s(0), None, 0, _s(61))
+    members.merge([old])
+    assert members.get("a") is None
+    members.merge([dataclasses.replace(old, since=_s(60))])
+    members.forget(_s(61), needed={"a"})
+    assert members.get("a") is not None
+    members.forget(_s(61), needed=())
+    assert members.get("a") is None
+
+
+@pytest.mark.parametrize(
+    ("times", "absent_s"),
+    [
+        # (seconds of the platform's clock, local seconds, names the host)
+        ([(0, 0, True), (60, 60, False)], 60),
+        # A step of the platform's clock does not shorten the absence.
+        ([(0, 0, True), (900, 5, False)], 5),
+        ([(0, 0, True), (5, 900, False)], 5),
+        ([(0, 0, False), (70, 70, False)], 70),
+        ([(0, 0, True), (50, 50, True), (60, 60, False)], 10),
+        # An older list is ignored.
+        ([(50, 0, True), (10, 60, False)], 0),
+        ([], 0),
+    ],
+)
+def test_absence_counts_only_what_the_lists_show(times, absent_s):
+    hosts = membership.PlatformHosts()
+    for as_of, received, named in times:
+        hosts.update(
+            clock.from_unix_ms(as_of * 1000),
+            {"a": False} if named else {},
+            _s(received),
+        )
+    assert hosts.absent_for("a") == _s(absent_s)
+
+
+def test_every_host_of_a_large_zone_is_within_two_steps_of_the_root():
+    ranking = [str(i) for i in range(61)]
+    for host in ranking[1:]:
+        parent = membership.tree_place(host, ranking).parent
+        assert host in membership.tree_place(parent, ranking).children
+        grandparent = membership.tree_place(parent, ranking).parent
+        assert ranking[0] in (parent, grandparent)
+    root = membership.tree_place("0", ranking)
+    assert (root.parent, len(root.children)) == ("1", 8)
--- a/src/sassafrashold/wire/gen/ttypes.py
+++ b/src/sassafrashold/wire/gen/ttypes.py
@@ -2050,9 +2050,10 @@
      - freshness_ages_ms
      - promise_ages_ms
      - objects_digest: Hash of all keys and versions; `objects` is empty when it is equal.
-     - evidence_only: True to ask only for the epoch, the ages of its proofs, and the promises
-    that the receiver collects.
+     - evidence_only: True to ask only for the epoch and the ages of its proofs, and for the
+    members below the receiver in the tree if `known_members` is present.
      - promised_age_ms: Age of the proof that the promises of all members give for `epoch`.
+     - all_members: With `evidence_only`: true to get all members in the compact form.
 
     """
 
@@ -2069,10 +2070,11 @@
         'objects_digest',
         'evidence_only',
         'promised_age_ms',
+        'all_members',
     )
 
 
-    def __init__(self, sender=None, zone=None, members=None, objects=None, epoch=None, renewal_age_ms=None, known_members=None, freshness_ages_ms=None, promise_ages_ms=None, objects_digest=None, evidence_only=False, promised_age_ms=None,):
+    def __init__(self, sender=None, zone=None, members=None, objects=None, epoch=None, renewal_age_ms=None, known_members=None, freshness_ages_ms=None, promise_ages_ms=None, objects_digest=None, evidence_only=False, promised_age_ms=None, all_members=False,):
         self.sender = sender
         self.zone = zone
         self.members = members
@@ -2085,6 +2087,7 @@
         self.objects_digest = objects_digest
         self.evidence_only = evidence_only
         self.promised_age_ms = promised_age_ms
+        self.all_members = all_members
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2182,6 +2185,11 @@
                     self.promised_age_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.BOOL:
+                    self.all_members = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2255,6 +2263,10 @@
             oprot.writeFieldBegin('promised_age_ms', TType.I64, 12)
             oprot.writeI64(self.promised_age_ms)
             oprot.writeFieldEnd()
+        if self.all_members is not None:
+            oprot.writeFieldBegin('all_members', TType.BOOL, 13)
+            oprot.writeBool(self.all_members)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3264,6 +3276,7 @@
     (10, TType.I64, 'objects_digest', None, None, ),  # 10
     (11, TType.BOOL, 'evidence_only', None, False, ),  # 11
     (12, TType.I64, 'promised_age_ms', None, None, ),  # 12
+    (13, TType.BOOL, 'all_members', None, False, ),  # 13
 )
 all_structs.append(FetchRequest)
 FetchRequest.thrift_spec = (
--- a/src/sassafrashold/wire/idl/sassafras.thrift
+++ b/src/sassafrashold/wire/idl/sassafras.thrift
@@ -177,12 +177,14 @@
   /** Hash of all keys and versions; `objects` is empty when it is equal. */
   10: optional i64 objects_digest;
   /**
-   * True to ask only for the epoch, the ages of its proofs, and the promises
-   * that the receiver collects.
+   * True to ask only for the epoch and the ages of its proofs, and for the
+   * members below the receiver in the tree if `known_members` is present.
    */
   11: optional bool evidence_only = false;
   /** Age of the proof that the promises of all members give for `epoch`. */
   12: optional i64 promised_age_ms;
+  /** With `evidence_only`: true to get all members in the compact form. */
+  13: optional bool all_members = false;
 }
 
 struct FetchRequest {
