--- a/src/sassafrashold/membership/tests/test_merge_and_ages.py
+++ b/src/sassafrashold/membership/tests/test_merge_and_ages.py
@@ -146,6 +146,7 @@
     ranking = [str(i) for i in range(61)]
     for host in ranking[1:]:
         parent = membership.tree_place(host, ranking).parent
+        assert parent is not None
         assert host in membership.tree_place(parent, ranking).children
         grandparent = membership.tree_place(parent, ranking).parent
         assert ranking[0] in (parent, grandparent)
