--- a/src/sassafrashold/entry/tests/entry_fakes.py
+++ b/src/sassafrashold/entry/tests/entry_fakes.py
@@ -1,8 +1,10 @@
 """Fakes of owners and of control, and a running daemon."""
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
+import datetime
 import json
 from typing import Any
 
@@ -30,6 +32,7 @@
 
     def __init__(self):
         self.asked = []
+        self.versions_by_request = collections.defaultdict(set)
         self.cancelled = []
         self.answer_by_leaf = {}
         self.server = rpc.Server(
@@ -46,6 +49,8 @@
         )
 
     async def _one(self, context, request, sub):
+        request_id = request.request_id.partition("~")[0]
+        self.versions_by_request[request_id].add(request.index_version)
         self.asked.append((request.index_version, sub.shard, sub.leaf))
         answer = self.answer_by_leaf.get(sub.leaf, rows_of)
         try:
@@ -237,3 +242,15 @@
             await asyncio.wait_for(task, 10)
             for owner in owner_by_zone.values():
                 await owner.server.close()
+
+
+def seconds(number):
+    """Returns a duration."""
+    return datetime.timedelta(seconds=number)
+
+
+async def until(condition):
+    """Waits until a condition of another task holds."""
+    async with asyncio.timeout(5):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.002)
--- a/src/sassafrashold/load/_search.py
+++ b/src/sassafrashold/load/_search.py
@@ -34,12 +34,14 @@
         self.shards_answered = 0
         self.count_by_fault: collections.Counter[str] = collections.Counter()
         self.example_by_fault: dict[str, Any] = {}
+        self.example_by_code: dict[str, Any] = {}
         self.versions: collections.Counter[str] = collections.Counter()
         self.last_counted = -1.0
         self.begin: float | None = None
 
     async def send(self, number: int, due: float) -> None:
         """Sends one request and records its end."""
+        assert self.begin is not None
         loop = asyncio.get_running_loop()
         lag = loop.time() - due
         target = self._targets[number % len(self._targets)]
@@ -55,7 +57,16 @@
             self.shards_answered += answer.body.get("shards_answered", 0)
             self.versions[str(answer.body.get("index_version"))] += 1
             self._check(target.service, query, answer.body)
-        assert self.begin is not None
+        else:
+            self.example_by_code.setdefault(
+                answer.code,
+                {
+                    "after_s": round(due - self.begin, 3),
+                    "service": target.service,
+                    "entry": answer.entry and str(answer.entry.address),
+                    "body": answer.body,
+                },
+            )
         if due - self.begin < self._plan.warmup_s:
             return
         self.lag.add(max(0.0, lag))
@@ -89,11 +100,17 @@
     return {name: value for name, value in body.items() if value is not None}
 
 
-async def run_searches(plan: _plan.SearchPlan) -> dict[str, Any]:
+async def run_searches(
+    plan: _plan.SearchPlan, stopping: asyncio.Event | None = None
+) -> dict[str, Any]:
     """Runs a load and returns its figures in JSON form.
 
     Latencies count from the intended send time, so a generator or an entry that
     falls behind is not hidden.
+
+    Args:
+        plan: What to send.
+        stopping: Ends the load before its time when it is set.
     """
     timeout = aiohttp.ClientTimeout(total=plan.timeout_s)
     connector = aiohttp.TCPConnector(limit=0)
@@ -103,13 +120,11 @@
     ):
         await _records.reset(session, plan.leaf_admins)
         run = _Run(plan, balancer)
-        offsets = list(
-            _plan.arrival_offsets(
-                plan.rate, plan.duration_s, plan.arrivals, plan.seed
-            )
+        offsets = _plan.arrival_offsets(
+            plan.rate, plan.duration_s, plan.arrivals, plan.seed
         )
         run.begin = asyncio.get_running_loop().time()
-        await _balancer.send_all(offsets, run.send)
+        await _balancer.send_all(offsets, run.send, stopping)
         elapsed = asyncio.get_running_loop().time() - run.begin
         records = await _records.fetch(session, plan.leaf_admins, False)
     return _report(plan, run, elapsed, records)
@@ -132,6 +147,7 @@
         "generator_lag": run.lag.figures(),
         **run.parts.figures(),
         "answers_by_version": dict(run.versions),
+        "refusal_examples": run.example_by_code,
         "wrong_answers": dict(run.count_by_fault),
         "wrong_answer_examples": run.example_by_fault,
     }
--- a/src/sassafrashold/platform/_memory.py
+++ b/src/sassafrashold/platform/_memory.py
@@ -117,9 +117,15 @@
         history = self._history_by_key.get(key, [])
         return tuple(stored for stored in history if stored is not None)
 
+    @property
+    def has_delayed(self) -> bool:
+        """Whether delayed writes are still on their way."""
+        return bool(self._delayed)
+
     async def deliver_delayed(self) -> None:
         """Lets the delayed writes reach the store."""
-        delayed, self._delayed = self._delayed, []
+        delayed = list(self._delayed)
+        self._delayed.clear()
         for key, value, expected_version in delayed:
             if self._version(key) == expected_version:
                 await self._apply(key, value)
--- a/src/sassafrashold/standins/tests/test_leaf_keeps_its_bounds_and_record.py
+++ b/src/sassafrashold/standins/tests/test_leaf_keeps_its_bounds_and_record.py
@@ -114,16 +114,18 @@
 
 
 @pytest.mark.parametrize(
-    ("body", "faults", "expected"),
+    ("query", "faults", "expected"),
     [
-        (_query(in_ms=-(10**9)), {}, (504, "EXPIRED")),
-        (_query(version="v0"), {}, (410, "VERSION_GONE")),
-        (_query(version="v1", shards=(1,)), {}, (410, "VERSION_GONE")),
-        (_query(in_ms=10**9), {"draining": True}, (503, "DRAINING")),
-        (_query(in_ms=10**9), {"shed_percent": 100}, (503, "SHED")),
+        ({"in_ms": -(10**9)}, {}, (504, "EXPIRED")),
+        ({"version": "v0"}, {}, (410, "VERSION_GONE")),
+        ({"version": "v1", "shards": (1,)}, {}, (410, "VERSION_GONE")),
+        ({"in_ms": 10**9}, {"draining": True}, (503, "DRAINING")),
+        ({"in_ms": 10**9}, {"shed_percent": 100}, (503, "SHED")),
     ],
 )
-async def test_refusals_say_that_nothing_ran(served, body, faults, expected):
+async def test_refusals_say_that_nothing_ran(served, query, faults, expected):
+    # Built here: a deadline set at collection would pass in a long run.
+    body = _query(**query)
     start, session = served
     server, url = await start()
     server.leaf.faults = server.leaf.faults.with_changes(faults)
@@ -172,6 +174,27 @@
     assert (await call)[0] == 499
 
 
+async def test_cancel_before_the_first_step_frees_the_slot(served):
+    start, session = served
+    server, url = await start(service_ms=5000)
+    cancel = session.delete(url + "/v1/requests/r-1")
+    original = server.leaf.start
+
+    def start_and_cancel(request):
+        call = original(request)
+        loop = asyncio.get_running_loop()
+        loop.call_soon(
+            lambda: [t.cancel() for t in server._tasks_by_request["r-1"]]
+        )
+        return call
+
+    server.leaf.start = start_and_cancel
+    assert (await _post(session, url, _query("r-1")))[0] == 499
+    async with cancel as response:
+        assert await response.json() == {"cancelled": 0}
+    assert server.leaf.running == 0
+
+
 async def test_work_ends_at_the_deadline(served):
     start, session = served
     server, url = await start(service_ms=5000)
