--- a/src/sassafrashold/lease/tests/test_lease_rules.py
+++ b/src/sassafrashold/lease/tests/test_lease_rules.py
@@ -125,8 +125,21 @@
 
 
 def test_a_new_process_proposes_nothing_within_the_lease_time_of_its_start():
-    now, _ = _proposing(_Zone(start=103.9))
-    assert now - 103.9 > _L.total_seconds()
+    zone = _Zone(start=104)
+    zone.state.learn(_lease("abc"), 7, _s(104))
+    # A renewal from before the start, so this process itself never promises.
+    zone.state.record_renewal(5, _s(103))
+    for tenth in range(1041, 1100):
+        now = tenth / 10
+        zone.hear_all("abcd", now)
+        zone.state.store_reached(_s(now))
+        write = zone.state.next_write(_s(now))
+        if write is not None and write.kind is lease.WriteKind.PROPOSE:
+            break
+        if write is not None:
+            zone.finish(write, lease.Outcome.NOT_RUN, now)
+    assert zone.promised(now) is None
+    assert now - 104 > _L.total_seconds()
 
 
 def test_changes_that_come_while_it_waits_are_in_one_proposal():
@@ -143,9 +156,14 @@
 
 
 @pytest.mark.parametrize(
-    "outcome", [lease.Outcome.UNKNOWN, lease.Outcome.CONFLICT]
+    ("outcome", "second"),
+    [
+        (lease.Outcome.UNKNOWN, lease.Outcome.CONFLICT),
+        (lease.Outcome.UNKNOWN, lease.Outcome.NOT_RUN),
+        (lease.Outcome.CONFLICT, lease.Outcome.UNKNOWN),
+    ],
 )
-def test_no_promise_while_a_proposal_may_have_taken_effect(outcome):
+def test_no_promise_while_a_proposal_may_have_taken_effect(outcome, second):
     zone = _Zone()
     now, write = _proposing(zone)
     last = zone.state.promise(_s(now))
@@ -156,7 +174,7 @@
     assert zone.state.promise(_s(now + 1)) == last
     # The same update is repeated, which settles its outcome.
     assert zone.state.next_write(_s(now + 1)) == write
-    zone.finish(write, lease.Outcome.CONFLICT, now + 1)
+    zone.finish(write, second, now + 1)
     assert zone.state.promise(_s(now + 1)) == last
     version = write.expected_version + 1
     zone.state.learn(_lease("abc"), version, _s(now + 2))
