Keep goodput under overload

Cause: in a trial with a stand-in leaf without gain from batches (capacity 150 items/s, deadline 200 ms) goodput was 71/s at 120/s offered and 76/s at 300/s. Calls were sized to end at the deadline, timed out, and held their slot for another 0.5 s; the try-out of batches always used the same size. Change: a call waits for the end that the leaf reports, at most 0.5 s past its deadline, and then needs no held slot; batches are sized with a margin and take no entry that would be late; work is dropped by the 0.9 quantile; the try-out varies the batch size.

--- a/src/sassafrashold/leafs/__init__.py
+++ b/src/sassafrashold/leafs/__init__.py
@@ -4,6 +4,7 @@
 client, which is imported explicitly because it needs aiohttp.
 """
 
+from sassafrashold.leafs._entitlement import CLOCK_AGREEMENT
 from sassafrashold.leafs._entitlement import HOLD_BACK
 from sassafrashold.leafs._entitlement import LEASE
 from sassafrashold.leafs._entitlement import LONGEST_LEAF_CALL
@@ -29,6 +30,7 @@
 from sassafrashold.leafs._work import Work
 
 __all__ = [
+    "CLOCK_AGREEMENT",
     "HOLD_BACK",
     "LEASE",
     "LONGEST_LEAF_CALL",
--- a/src/sassafrashold/leafs/_latency.py
+++ b/src/sassafrashold/leafs/_latency.py
@@ -13,8 +13,8 @@
 _JUMP_FLOOR_S = 0.003
 _JUMP_CALLS = 2
 # With less spread in batch sizes the fit of the cost per item is noise.
-_MIN_SIZE_VARIANCE = 0.25
-_TRIAL_BATCH = 8
+_MIN_SIZE_VARIANCE = 0.05
+_TRIAL_BATCH = 4
 _FIXED_COST_SHARE = 4
 
 
@@ -77,11 +77,12 @@
         """Returns the size from which larger calls gain little.
 
         At this size the fixed cost of a call is a fifth of the whole. Without
-        a fit, a moderate size is tried so that one can be made.
+        a fit, another size than the usual one is tried so that one can be made.
         """
         fixed, per_item = self._costs()
         if fixed <= 0 and self._variance() < _MIN_SIZE_VARIANCE:
-            return _TRIAL_BATCH
+            usual = self._sizes / self._weight if self._weight else 1.0
+            return _TRIAL_BATCH if usual < _TRIAL_BATCH / 2 else 1
         if per_item <= 0:
             return _work.MAX_BATCH_ITEMS
         size = _FIXED_COST_SHARE * fixed / per_item
--- a/src/sassafrashold/leafs/_leaf.py
+++ b/src/sassafrashold/leafs/_leaf.py
@@ -13,6 +13,8 @@
 from sassafrashold.leafs import _work
 
 Answers = list[tuple[_work.Waiter, _work.Answer]]
+_BATCH_DEADLINE_SHARE = 0.7
+_LATE_QUANTILE = 0.9
 _OVERLOAD_RETRY = datetime.timedelta(milliseconds=50)
 
 
@@ -88,7 +90,9 @@
         if not free or not len(self.queue):
             return None
         now = self._clock.monotonic()
-        entries = self.queue.take(self._batch_limit(free, now))
+        limit = self._batch_limit(free, now)
+        ready = now + self.state.latency.expected(limit)
+        entries = self.queue.take(limit, ready)
         deadline = min(
             max(w.work.deadline for e in entries for w in e.waiters),
             now + _entitlement.LONGEST_LEAF_CALL,
@@ -101,7 +105,7 @@
         now = self._clock.monotonic()
         margin = datetime.timedelta()
         if self.state.in_use():
-            margin = self.state.latency.quantile(0.5)
+            margin = self.state.latency.quantile(_LATE_QUANTILE)
         return [
             (
                 waiter,
@@ -250,7 +254,9 @@
         return min(
             spread,
             latency.useful_batch(),
-            latency.batch_within(head.work.deadline - now),
+            latency.batch_within(
+                (head.work.deadline - now) * _BATCH_DEADLINE_SHARE
+            ),
         )
 
 
--- a/src/sassafrashold/leafs/_queue.py
+++ b/src/sassafrashold/leafs/_queue.py
@@ -159,11 +159,15 @@
         group = self._next_group()
         return None if group is None else group[1][0][2]
 
-    def take(self, limit: int) -> list[Entry]:
+    def take(
+        self, limit: int, ready: datetime.timedelta | None = None
+    ) -> list[Entry]:
         """Removes and returns the entries of the next batch.
 
         Args:
             limit: Entries at most.
+            ready: Monotonic time at which the call will have ended. Entries
+                with an earlier deadline do not join the first one.
         """
         head = self._next_group()
         if head is None:
@@ -174,6 +178,8 @@
         for name in self._classes():
             heap = self._heaps[name].get(group, [])
             while len(batch) < limit and self._clean(heap):
+                if batch and ready is not None and heap[0][0] < ready:
+                    break
                 entry = heapq.heappop(heap)[2]
                 self._forget(entry)
                 for waiter in entry.waiters:
--- a/src/sassafrashold/leafs/_state.py
+++ b/src/sassafrashold/leafs/_state.py
@@ -84,9 +84,9 @@
 class LeafState:
     """Decides how many calls may run at a leaf at once.
 
-    A slot is free again when the leaf has answered. If a call ended without an
-    answer, the leaf may still work on it, so its slot stays in use until the
-    deadline of the call plus the allowed difference of the wall clocks.
+    A slot is free again when the leaf has answered. If the connection was lost
+    before, the leaf may still work on the call, so its slot stays in use until
+    the deadline of the call plus the allowed difference of the wall clocks.
     """
 
     def __init__(
@@ -233,7 +233,15 @@
             self._window = min(self._window + 1, self._limits.slots)
 
     def fail(self, call: Call, error: errors.SassafrasError) -> None:
-        """Records a call that ended without a result."""
+        """Records a call that ended without a result.
+
+        Args:
+            call: The call.
+            error: CONNECTION_LOST if the leaf may still work on it. All other
+                codes mean that it does not, also DEADLINE_EXCEEDED: the leaf
+                said so, or the deadline and the allowed difference of the wall
+                clocks have passed.
+        """
         del self._call_by_id[call.call_id]
         self._successes = 0
         self._troubles.append(error.code in _TROUBLES)
@@ -253,7 +261,6 @@
             case errors.ErrorCode.DEADLINE_EXCEEDED if (
                 error.ran is errors.Ran.OUTCOME_UNKNOWN
             ):
-                self._hold(call)
                 self._record_timeout(call)
 
     def hint(self, generation: str, draining: bool) -> None:
--- a/src/sassafrashold/leafs/client.py
+++ b/src/sassafrashold/leafs/client.py
@@ -13,10 +13,12 @@
 from sassafrashold import clock as clock_lib
 from sassafrashold import documents
 from sassafrashold import errors
+from sassafrashold import leafs
 from sassafrashold import settings
 
 _CONNECT_TIMEOUT_S = 0.5
 _SIDE_CALL_TIMEOUT_S = 0.5
+_CLOCK_AGREEMENT_S = leafs.CLOCK_AGREEMENT.total_seconds()
 _KEEP_OPEN_S = 3600.0
 _HEADERS = {"Content-Type": "application/json"}
 _CODE_BY_REFUSAL = {
@@ -126,6 +128,8 @@
 
         Raises:
             LeafError: NOT_RUN only if the leaf said so or was not reached.
+                DEADLINE_EXCEEDED only when the leaf no longer works for the
+                call, at most 0.5 s after the deadline.
         """
         head = documents.dump(
             {
@@ -227,8 +231,11 @@
         headers = _HEADERS
         if traceparent is not None:
             headers = {**_HEADERS, "traceparent": traceparent}
+        # The leaf ends the call at the deadline by its own clock. Waiting for
+        # that end tells when the slot is free.
         timeout = aiohttp.ClientTimeout(
-            total=remaining, sock_connect=_CONNECT_TIMEOUT_S
+            total=remaining + _CLOCK_AGREEMENT_S,
+            sock_connect=min(remaining, _CONNECT_TIMEOUT_S),
         )
         try:
             async with self._session.post(
--- a/src/sassafrashold/leafs/tests/test_leaf_bounds_calls_and_answers_once.py
+++ b/src/sassafrashold/leafs/tests/test_leaf_bounds_calls_and_answers_once.py
@@ -35,6 +35,7 @@
     errors.ErrorCode.LEAF_UNREACHABLE,
     errors.ErrorCode.VERSION_GONE,
     errors.ErrorCode.LEAF_FAILED,
+    errors.ErrorCode.DEADLINE_EXCEEDED,
 }
 
 
