Let rpc.Server.close wait for its connections

A process that ended while peers were connected logged one error with a traceback for each connection, because Python 3.11 reports the cancellation of a connection task as a failed callback. The server now waits up to 1 s for the tasks, which end as soon as their sockets are closed.

--- a/src/sassafrashold/rpc/_server.py
+++ b/src/sassafrashold/rpc/_server.py
@@ -18,6 +18,7 @@
 
 _LOGGER = logging.getLogger(__name__)
 _MAX_REQUESTS_PER_CONNECTION = 10_000
+_CLOSE_TIMEOUT_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -63,6 +64,7 @@
         self._metrics = metrics or telemetry.NullMetrics()
         self._server: asyncio.Server | None = None
         self._connections: set[_Connection] = set()
+        self._accepted: set[asyncio.Task[None]] = set()
 
     async def start(self, address: settings.Address) -> settings.Address:
         """Binds the address and starts to accept.
@@ -86,6 +88,10 @@
             self._server.close()
         for connection in list(self._connections):
             connection.close()
+        # Python 3.11 logs an error for each connection task that the end of
+        # the event loop cancels, so they have to end before.
+        if self._accepted:
+            await asyncio.wait(self._accepted, timeout=_CLOSE_TIMEOUT_S)
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -94,6 +100,10 @@
             reader, writer, self._handler_by_method, self._clock, self._metrics
         )
         self._connections.add(connection)
+        task = asyncio.current_task()
+        if task is not None:
+            self._accepted.add(task)
+            task.add_done_callback(self._accepted.discard)
         try:
             await connection.run()
         finally:
