Refuse nearly late work that would keep calls small

Change: if a class has enough work for a call of the most useful size, its work that would be late in such a call is refused as not run.

--- a/src/sassafrashold/leafs/_leaf.py
+++ b/src/sassafrashold/leafs/_leaf.py
@@ -100,22 +100,34 @@
         call = self.state.start(granted, len(entries), deadline)
         return Batch(call, tuple(entries))
 
-    def drop_late(self) -> Answers:
-        """Refuses what waits and can no longer finish in time."""
+    def drop_late(self, granted: int) -> Answers:
+        """Refuses what waits and can no longer finish in time.
+
+        If a class has enough work for a call of the most useful size, its work
+        that would be late in such a call is refused as well. Otherwise, under
+        overload, the work that is nearly late would keep all calls small.
+
+        Args:
+            granted: Slots of the entitlement.
+        """
         now = self._clock.monotonic()
         margin = datetime.timedelta()
         if self.state.in_use():
             margin = self.state.latency.quantile(_LATE_QUANTILE)
-        return [
-            (
-                waiter,
-                errors.LeafError(
-                    errors.ErrorCode.DEADLINE_EXCEEDED,
-                    "the deadline passed in the queue of the leaf",
-                ),
-            )
-            for waiter in self.queue.expire(now + margin)
-        ]
+        late = self.queue.expire(now + margin)
+        free = self.state.free(granted)
+        head = self.queue.earliest()
+        if free and head is not None and not head.work.dispatch:
+            size = self._useful_size(free)
+            ready = now + self._planned(size)
+            name = head.work.priority_class
+            if self.queue.on_time(name, ready) >= size > 1:
+                late += self.queue.expire(ready, name)
+        error = errors.LeafError(
+            errors.ErrorCode.DEADLINE_EXCEEDED,
+            "the deadline would pass before the leaf answers",
+        )
+        return [(waiter, error) for waiter in late]
 
     def refuse_all(self, error: errors.SassafrasError) -> Answers:
         """Refuses everything that waits."""
@@ -246,19 +258,25 @@
         Items are spread over the free slots. A call is neither larger than
         what batching gains nor longer than the time left of its first item.
         """
-        latency = self.state.latency
         head = self.queue.earliest()
-        spread = math.ceil(len(self.queue) / free)
         if head is None or self.state.phase is not _state.Phase.SERVING:
             return 1
         return min(
-            spread,
-            latency.useful_batch(),
-            latency.batch_within(
+            self._useful_size(free),
+            self.state.latency.batch_within(
                 (head.work.deadline - now) * _BATCH_DEADLINE_SHARE
             ),
         )
 
+    def _useful_size(self, free: int) -> int:
+        """Returns the size of calls that serves what waits fastest."""
+        spread = math.ceil(len(self.queue) / free)
+        return min(spread, self.state.latency.useful_batch())
+
+    def _planned(self, size: int) -> datetime.timedelta:
+        """Returns the time that is set aside for a call, with a margin."""
+        return self.state.latency.expected(size) / _BATCH_DEADLINE_SHARE
+
 
 def _to_all(batch: Batch, answer: _work.Answer) -> Answers:
     return [
--- a/src/sassafrashold/leafs/_queue.py
+++ b/src/sassafrashold/leafs/_queue.py
@@ -101,10 +101,21 @@
             self._forget(entry)
         return True
 
-    def expire(self, now: datetime.timedelta) -> list[_work.Waiter]:
-        """Removes and returns the waiters whose deadline has passed."""
+    def expire(
+        self, now: datetime.timedelta, name: str | None = None
+    ) -> list[_work.Waiter]:
+        """Removes and returns the waiters whose deadline has passed.
+
+        Args:
+            now: Monotonic time that deadlines are compared with.
+            name: The only class that is looked at; None for all.
+        """
         late = []
-        for heaps in self._heaps.values():
+        for heaps in [
+            heaps
+            for class_name, heaps in self._heaps.items()
+            if name in (None, class_name)
+        ]:
             for heap in heaps.values():
                 while heap and (heap[0][0] <= now or not heap[0][2].waiting):
                     entry = heapq.heappop(heap)[2]
@@ -154,6 +165,11 @@
                 total += min(len(deadlines), int(turns))
         return total
 
+    def on_time(self, name: str, ready: datetime.timedelta) -> int:
+        """Returns the entries of a class with a deadline after `ready`."""
+        deadlines = self._deadlines_by_class.get(name, [])
+        return len(deadlines) - bisect.bisect_right(deadlines, ready)
+
     def earliest(self) -> Entry | None:
         """Returns the entry that the next batch starts with."""
         group = self._next_group()
--- a/src/sassafrashold/leafs/tests/test_leaf_adapts_to_load_and_faults.py
+++ b/src/sassafrashold/leafs/tests/test_leaf_adapts_to_load_and_faults.py
@@ -83,6 +83,26 @@
     assert len(batch.entries) in sizes
 
 
+def test_work_that_is_nearly_late_does_not_keep_calls_small():
+    bench = Bench()
+    for size in (1, 2, 4, 8) * 8:
+        for shard in range(size):
+            bench.submit(shard, ms=60_000)
+        batch = bench.start(1)
+        bench.clock.advance(_ms(16 + 4 * len(batch.entries)))
+        rows = dict.fromkeys(range(len(batch.entries)), b"[]")
+        bench.leaf.succeeded(batch, "1", rows)
+        bench.leaf.refuse_all(RESET)
+    for shard in range(40):
+        bench.submit(shard, ms=30 + 10 * shard)
+    late = bench.leaf.drop_late(1)
+    for _, answer in late:
+        assert isinstance(answer, errors.LeafError)
+        assert answer.ran is errors.Ran.NOT_RUN
+    assert 5 <= len(late) <= 12
+    assert 14 <= len(bench.start(1).entries) <= 17
+
+
 def test_urgent_work_does_not_pull_others_into_a_call_that_is_too_long():
     bench = Bench()
     bench.warm(ms=20)
--- a/src/sassafrashold/leafs/tests/test_leaf_bounds_calls_and_answers_once.py
+++ b/src/sassafrashold/leafs/tests/test_leaf_bounds_calls_and_answers_once.py
@@ -157,7 +157,7 @@
     @stateful.rule(ms=st.sampled_from([1, 10, 100, 600, 2500]))
     def wait(self, ms):
         self.clock.advance(datetime.timedelta(milliseconds=ms))
-        self._deliver(self.leaf.drop_late())
+        self._deliver(self.leaf.drop_late(3))
 
     @stateful.invariant()
     def nothing_lost_or_answered_twice(self):
--- a/src/sassafrashold/owner/_leaf_task.py
+++ b/src/sassafrashold/owner/_leaf_task.py
@@ -178,9 +178,10 @@
         refusal = self._refusal(self.grant())
         if refusal is not None:
             self._deliver(self.aggregate.refuse_all(refusal))
-        self._deliver(self.aggregate.drop_late())
         while True:
-            batch = self.aggregate.next_batch(self.grant().slots)
+            granted = self.grant().slots
+            self._deliver(self.aggregate.drop_late(granted))
+            batch = self.aggregate.next_batch(granted)
             if batch is None:
                 break
             self._start(batch)
--- a/src/sassafrashold/owner/tests/test_owner_serves_only_what_it_may.py
+++ b/src/sassafrashold/owner/tests/test_owner_serves_only_what_it_may.py
@@ -285,7 +285,7 @@
 async def test_the_process_ends_if_a_leaf_task_fails(setup, monkeypatch):
     await setup.start()
     task = setup.daemon.registry.task_by_leaf["leaf-1"]
-    monkeypatch.setattr(task.aggregate, "drop_late", lambda: 1 / 0)
+    monkeypatch.setattr(task.aggregate, "drop_late", lambda _: 1 / 0)
     task.refresh()
     with pytest.raises(errors.LeaseError):
         await asyncio.wait_for(setup.running, 5)
