Free the slot of a lost query once the leaf confirms its end

Change: after a lost connection the owner asks the leaf to cancel the query; an answer frees the slot. Dispatches are never cancelled and keep their slot.

--- a/src/sassafrashold/leafs/_state.py
+++ b/src/sassafrashold/leafs/_state.py
@@ -86,7 +86,8 @@
 
     A slot is free again when the leaf has answered. If the connection was lost
     before, the leaf may still work on the call, so its slot stays in use until
-    the deadline of the call plus the allowed difference of the wall clocks.
+    the leaf confirms the end (`release`) or the deadline of the call plus the
+    allowed difference of the wall clocks has passed.
     """
 
     def __init__(
@@ -113,7 +114,7 @@
             maxlen=_RECENT_CALLS
         )
         self._call_by_id: dict[int, Call] = {}
-        self._held_until: list[datetime.timedelta] = []
+        self._held_until_by_id: dict[int, datetime.timedelta] = {}
         self._last_id = 0
         self._generation: str | None = None
         self._generation_seen = datetime.timedelta()
@@ -157,10 +158,14 @@
 
     def in_use(self) -> int:
         """Returns the slots that calls use or may still use."""
-        if self._held_until:
+        if self._held_until_by_id:
             now = self._clock.monotonic()
-            self._held_until = [t for t in self._held_until if t > now]
-        return len(self._call_by_id) + len(self._held_until)
+            self._held_until_by_id = {
+                call_id: until
+                for call_id, until in self._held_until_by_id.items()
+                if until > now
+            }
+        return len(self._call_by_id) + len(self._held_until_by_id)
 
     def connection_limit(self) -> int:
         """Returns how many connections may be open."""
@@ -221,7 +226,7 @@
         self._set_serving()
         if self._is_new_generation(call, generation):
             # The process that worked for the held calls has ended.
-            self._held_until.clear()
+            self._held_until_by_id.clear()
             self.become_cold()
             return
         if self.latency.record(now - call.started, call.size):
@@ -263,6 +268,10 @@
             ):
                 self._record_timeout(call)
 
+    def release(self, call: Call) -> None:
+        """Frees the slot of a lost call that the leaf says has ended."""
+        self._held_until_by_id.pop(call.call_id, None)
+
     def hint(self, generation: str, draining: bool) -> None:
         """Takes the leaf's own report, which may be wrong.
 
@@ -316,7 +325,9 @@
         self.last_success = self._clock.monotonic()
 
     def _hold(self, call: Call) -> None:
-        self._held_until.append(call.deadline + _entitlement.CLOCK_AGREEMENT)
+        self._held_until_by_id[call.call_id] = (
+            call.deadline + _entitlement.CLOCK_AGREEMENT
+        )
 
     def _back_off(self, phase: Phase) -> None:
         self.phase = phase
--- a/src/sassafrashold/leafs/client.py
+++ b/src/sassafrashold/leafs/client.py
@@ -180,14 +180,14 @@
         )
 
     async def cancel(self, request_id: str) -> bool:
-        """Asks the leaf to stop a call.
+        """Asks the leaf to stop a query call.
 
         Returns:
-            Whether the leaf says that it has stopped it.
+            Whether the leaf has confirmed that it does not work for the call:
+            it has stopped it or does not know it.
         """
         document = await self._side_call("DELETE", f"requests/{request_id}")
-        cancelled = (document or {}).get("cancelled")
-        return isinstance(cancelled, int) and cancelled > 0
+        return document is not None and "cancelled" in document
 
     async def health(self) -> Health | None:
         """Returns the leaf's own report; None if it gives none."""
@@ -210,6 +210,8 @@
                 async with self._session.request(
                     method, self._base + path, timeout=timeout
                 ) as response:
+                    if response.status != 200:
+                        return None
                     document = json.loads(await response.read())
             except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
                 return None
--- a/src/sassafrashold/leafs/tests/test_leaf_adapts_to_load_and_faults.py
+++ b/src/sassafrashold/leafs/tests/test_leaf_adapts_to_load_and_faults.py
@@ -247,11 +247,16 @@
     assert pauses == [0, 100, 200, 400, 800, 1600, 3200, 5000]
 
 
-def test_a_call_without_an_answer_keeps_its_slot_while_the_leaf_may_run_it():
+@pytest.mark.parametrize("confirmed", [True, False])
+def test_a_lost_call_keeps_its_slot_while_the_leaf_may_run_it(confirmed):
     bench = Bench(leafs.LeafLimits(1, 30, 1, 5, 1000))
     bench.submit(0, ms=300)
-    bench.leaf.failed(bench.start(), RESET)
+    lost = bench.start()
+    bench.leaf.failed(lost, RESET)
     bench.submit(1, ms=2000)
     assert bench.start() is None
-    bench.clock.advance(_ms(800))
+    if confirmed:
+        bench.leaf.state.release(lost.call)
+    else:
+        bench.clock.advance(_ms(800))
     assert _shards(bench.start()) == [1]
--- a/src/sassafrashold/owner/_daemon.py
+++ b/src/sassafrashold/owner/_daemon.py
@@ -143,6 +143,7 @@
             known = self.rights.entitlement.epoch
             self.rights.on_lease(zone_lease)
             if self.rights.entitlement.epoch > known:
+                self._log_epoch()
                 self._poll_now.set()
         self.registry.sync()
 
@@ -182,16 +183,17 @@
         before = self.rights.entitlement
         self.rights.on_report(reply, sent)
         if self.rights.entitlement.epoch != before.epoch:
-            _LOGGER.info(
-                "adopted epoch",
-                extra={
-                    "epoch": self.rights.entitlement.epoch,
-                    "members": list(self.rights.entitlement.members),
-                },
-            )
+            self._log_epoch()
             self._poll_now.set()
         self.registry.sync()
 
+    def _log_epoch(self) -> None:
+        known = self.rights.entitlement
+        _LOGGER.info(
+            "adopted epoch",
+            extra={"epoch": known.epoch, "members": list(known.members)},
+        )
+
     def _update_released(self) -> None:
         """Notes the epoch if nothing is in flight on leafs of others."""
         self.registry.reap()
--- a/src/sassafrashold/owner/_leaf_task.py
+++ b/src/sassafrashold/owner/_leaf_task.py
@@ -106,6 +106,8 @@
             case _messages.Failed():
                 self._end(message.flight)
                 self._deliver(self._fail(message))
+            case _messages.Ended():
+                self.aggregate.state.release(message.flight.batch.call)
             case _messages.Hint():
                 self._take_hint(message.health)
             case _messages.Tick():
@@ -162,7 +164,18 @@
         self._context.metrics.count(
             f"leaf.failures.{message.error.code.value.lower()}"
         )
-        return self.aggregate.failed(batch, message.error)
+        answers = self.aggregate.failed(batch, message.error)
+        if (
+            message.error.code is errors.ErrorCode.CONNECTION_LOST
+            and not batch.work.dispatch
+        ):
+            self._spawn(self._confirm_end(message.flight))
+        return answers
+
+    async def _confirm_end(self, flight: _messages.Flight) -> None:
+        """Frees the slot of a lost query before its deadline, if possible."""
+        if await self._client.cancel(flight.request_id):
+            self._inbox.put_nowait(_messages.Ended(flight))
 
     def _end(self, flight: _messages.Flight) -> None:
         for waiter in flight.waiters:
--- a/src/sassafrashold/owner/_messages.py
+++ b/src/sassafrashold/owner/_messages.py
@@ -101,6 +101,14 @@
     """False if nothing was sent to the leaf."""
 
 
+@dataclasses.dataclass(frozen=True)
+class Ended:
+    """The leaf has confirmed the end of a call whose connection was lost."""
+
+    flight: "Flight"
+    """The call."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Hint:
     """The leaf's own report."""
@@ -125,7 +133,15 @@
 
 
 Message = (
-    Submit | Cancel | Succeeded | Failed | Hint | Tick | Refresh | HealthDue
+    Submit
+    | Cancel
+    | Succeeded
+    | Failed
+    | Ended
+    | Hint
+    | Tick
+    | Refresh
+    | HealthDue
 )
 
 
--- a/src/sassafrashold/owner/tests/conftest.py
+++ b/src/sassafrashold/owner/tests/conftest.py
@@ -36,6 +36,7 @@
         self.gate.set()
         self.delay_s = 0.0
         self.repeat = 1
+        self.lose_next = False
 
     async def start(self):
         app = web.Application(client_max_size=rpc.MAX_FRAME_BYTES)
@@ -62,6 +63,9 @@
                 {"error": code, "ran": False}, status=status
             )
         self.calls.append(body)
+        if self.lose_next:
+            self.lose_next = False
+            request.transport.abort()
         self.running += 1
         self.most_at_once = max(self.most_at_once, self.running)
         await self.gate.wait()
@@ -242,6 +246,9 @@
             while not condition():  # noqa: ASYNC110
                 await asyncio.sleep(0.005)
 
+    def now(self):
+        return CLOCK.monotonic()
+
     def deadline(self, seconds=3.0):
         return CLOCK.now() + datetime.timedelta(seconds=seconds)
 
--- a/src/sassafrashold/owner/tests/test_owner_serves_only_what_it_may.py
+++ b/src/sassafrashold/owner/tests/test_owner_serves_only_what_it_may.py
@@ -289,3 +289,25 @@
     task.refresh()
     with pytest.raises(errors.LeaseError):
         await asyncio.wait_for(setup.running, 5)
+
+
+async def test_the_slot_of_a_lost_query_is_free_once_the_leaf_confirms(setup):
+    await setup.start()
+    state = await setup.warm()
+    setup.leaf.lose_next = True
+    answers = await setup.scatter(ONE)
+    assert answers == [(0, "CONNECTION_LOST", UNKNOWN)]
+    started = setup.now()
+    await setup.until(lambda: state.in_use() == 0)
+    assert len(setup.leaf.cancelled) == 1
+    assert (setup.now() - started).total_seconds() < 1
+
+
+async def test_a_lost_dispatch_is_not_cancelled_and_keeps_its_slot(setup):
+    await setup.start()
+    state = await setup.warm()
+    setup.leaf.lose_next = True
+    code, ran = await setup.dispatch()
+    assert (code.value, ran.value) == ("CONNECTION_LOST", "outcome_unknown")
+    assert state.in_use() == 1
+    assert setup.leaf.cancelled == []
