Let entries admit requests again after a fault

Cause: after an owner had been frozen, three of four entries refused every search of 'almanac' with OVERLOADED ('it waited 0 ms') for more than 60 s. A request was judged by the p90 of the service time although it need not wait, because its time of arrival lay some microseconds before the decision; so nothing was measured any more. When the samples had aged out, the first new sample brought the old quantile back. Change: the first decision uses the time of arrival, and a quantile without recent samples forgets its value.

--- a/src/sassafrashold/admission/_gate.py
+++ b/src/sassafrashold/admission/_gate.py
@@ -65,7 +65,9 @@
         self.queue.offer(ticket, now)
         place = asyncio.get_running_loop().create_future()
         self._place_by_ticket[ticket] = place
-        self._decide()
+        # At its time of arrival: a request that need not wait always starts,
+        # otherwise slow answers during a fault could keep all later ones out.
+        self._decide(now)
         await self._wait(ticket, place)
         admitted = Admitted(self._clock.monotonic() - now)
         try:
@@ -122,8 +124,8 @@
         if refusal is not None:
             self._settle(refusal)
 
-    def _decide(self) -> None:
-        for decision in self.queue.decide(self._clock.monotonic()):
+    def _decide(self, now: datetime.timedelta | None = None) -> None:
+        for decision in self.queue.decide(now or self._clock.monotonic()):
             self._settle(decision)
 
     def _settle(self, decision: _queue.Decision) -> None:
--- a/src/sassafrashold/quantiles.py
+++ b/src/sassafrashold/quantiles.py
@@ -77,6 +77,8 @@
         self._previous, self._current = self._current, self._previous
         if now >= self._window_end + self._window:
             self._previous.reset()
+            # The value of samples that are gone must not come back.
+            self._value = None
         self._current.reset()
         self._window_end = now + self._window
 
