Confirm the table after a start before it is in force

Cause: a control that had just started took a table that it only read, and the entry became ready with it. Change: a starting control writes the table back unchanged on the version that it read; success or the version in the conflict proves which is the newest. Until then subscribers do not get the table. What a peer has counts without the store only if the store has not answered for 3 s.

--- a/src/sassafrashold/control/_daemon.py
+++ b/src/sassafrashold/control/_daemon.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import datetime
 import logging
 import random
 import secrets
@@ -33,6 +34,9 @@
 _OTHER_LEASES_S = 5.0
 _HOSTS_S = 2.0
 _RETRY_S = 1.0
+# Longer than the entry of the same host takes to start, because control
+# reaches the store through it.
+_STORE_PATIENCE = datetime.timedelta(seconds=3)
 _HOUSEKEEPING_S = 5.0
 _JITTER = 0.2
 
@@ -149,25 +153,38 @@
             await asyncio.sleep(seconds * jitter)
 
     async def _load(self, readers: _readers.Readers) -> None:
-        """Reads the store until this host is up to date by any way."""
-        # Peers are asked first; they cost the store no calls.
+        """Reads peers and store until this host is up to date.
+
+        What peers have counts without the store only if the store does not
+        answer for a while.
+        """
+        node = self.node
         await self._ask_peers()
-        while self.node.up_to_date_source is None:
+        end = node.started + _STORE_PATIENCE
+        while node.up_to_date_source is None:
             try:
                 await readers.load_all()
             except errors.SassafrasError as error:
                 _LOGGER.warning(
-                    "not up to date: no peer has all objects and the store"
-                    " does not answer",
+                    "not up to date: the table is not confirmed by the store",
                     extra={"error": str(error)},
                 )
+                reached = node.lease.store_reached_at
+                is_cut_off = reached is None or (
+                    node.now() - reached >= _STORE_PATIENCE
+                )
+                if node.complete_peer and is_cut_off and node.now() >= end:
+                    node.set_up_to_date(
+                        f"peer {node.complete_peer}, not confirmed"
+                    )
+                    return
                 await asyncio.sleep(_RETRY_S)
 
     async def _ask_peers(self) -> None:
         for address in self._values.seeds:
             if address != self.node.settings.listen:
                 await self._peers.exchange(address)
-            if self.node.up_to_date_source is not None:
+            if self.node.complete_peer is not None:
                 return
 
     async def _watch(self, readers: _readers.Readers) -> None:
--- a/src/sassafrashold/control/_handlers.py
+++ b/src/sassafrashold/control/_handlers.py
@@ -10,6 +10,7 @@
 from sassafrashold import errors
 from sassafrashold import rpc
 from sassafrashold import settings
+from sassafrashold import table
 from sassafrashold import wire
 from sassafrashold.control import _digest
 from sassafrashold.control import _entitlement
@@ -46,7 +47,11 @@
     async def subscribe(
         self, context: rpc.RequestContext, body: bytes
     ) -> bytes:
-        """Streams every object, and each newer one, until cancelled."""
+        """Streams every object, and each newer one, until cancelled.
+
+        The table waits until this host knows that it is not an older one than
+        was in force before its start.
+        """
         request = _decode(wire.messages.SubscribeRequest, body)
         prefixes = tuple(request.prefixes or ()) or ("",)
         changed = asyncio.Event()
@@ -54,7 +59,11 @@
         pending: dict[str, _objects.StoredObject] = {}
 
         def add(stored: _objects.StoredObject) -> None:
-            if stored.key.startswith(prefixes):
+            is_held_back = (
+                stored.key == table.TABLE_KEY
+                and self.node.up_to_date_source is None
+            )
+            if stored.key.startswith(prefixes) and not is_held_back:
                 pending[stored.key] = stored
                 changed.set()
 
--- a/src/sassafrashold/control/_node.py
+++ b/src/sassafrashold/control/_node.py
@@ -8,6 +8,7 @@
 from sassafrashold import errors
 from sassafrashold import lease
 from sassafrashold import membership
+from sassafrashold import table
 from sassafrashold import views
 from sassafrashold.control import _objects
 from sassafrashold.control import _owner_watch
@@ -50,6 +51,8 @@
         self.owner = _owner_watch.OwnerWatch()
         """The local owner process."""
         self.up_to_date_source: str | None = None
+        # Peer that had all objects when this host last asked it.
+        self.complete_peer: str | None = None
         """Where the first full set of objects came from."""
         self._ranked: tuple[str, ...] = ()
         self._ranking_of_fresh: list[str] = []
@@ -176,6 +179,7 @@
         if self.up_to_date_source is None:
             _LOGGER.info("objects are up to date", extra={"source": source})
             self.up_to_date_source = source
+            self.objects.emit(table.TABLE_KEY)
 
     def _apply(self, stored: _objects.StoredObject) -> None:
         if stored.key == self.lease_key:
--- a/src/sassafrashold/control/_objects.py
+++ b/src/sassafrashold/control/_objects.py
@@ -108,6 +108,12 @@
         self._replace(dataclasses.replace(candidate, source=known.source))
         return False
 
+    def emit(self, key: str) -> None:
+        """Emits an object again, for readers that had to wait for it."""
+        known = self._object_by_key.get(key)
+        if known is not None:
+            self._subject.on_next(known)
+
     def _replace(self, candidate: StoredObject) -> None:
         self._object_by_key[candidate.key] = candidate
         self._digest = None
--- a/src/sassafrashold/control/_peers.py
+++ b/src/sassafrashold/control/_peers.py
@@ -216,7 +216,7 @@
             return
         complete = await self.fetch_newer(address, message)
         if complete and _is_up_to_date(message):
-            self._node.set_up_to_date(f"peer {message.sender}")
+            self._node.complete_peer = message.sender
 
     async def fetch_newer(
         self, address: settings.Address, message: Any
--- a/src/sassafrashold/control/_readers.py
+++ b/src/sassafrashold/control/_readers.py
@@ -2,6 +2,7 @@
 
 import datetime
 
+from sassafrashold import errors
 from sassafrashold import lease
 from sassafrashold import platform
 from sassafrashold import table
@@ -30,7 +31,7 @@
         Raises:
             StoreError: The host is not up to date.
         """
-        await self._read(table.TABLE_KEY)
+        await self._confirm_table()
         await self._read_newer(_SHARDMAPS, skip=())
         await self._read_newer(lease.KEY_PREFIX, skip=())
         self._node.set_up_to_date("store")
@@ -41,7 +42,9 @@
         Raises:
             StoreError: The store does not answer.
         """
-        if not self._node.is_reader():
+        # A read by a host that has just started may be older than what this
+        # host had in force before, so the table is confirmed first.
+        if self._node.up_to_date_source is None or not self._node.is_reader():
             return False
         key = table.TABLE_KEY
         found = await self._store.watch(
@@ -94,6 +97,42 @@
             if key not in skip and version > self._node.objects.version(key):
                 await self._read(key)
 
+    async def _confirm_table(self) -> None:
+        """Takes over the newest table, proven by a conditional update.
+
+        A read can be stale. Writing the table back unchanged succeeds only if
+        it was the newest one, and a conflict names the version that was.
+
+        Raises:
+            StoreError: It is not known which table is the newest.
+        """
+        key = table.TABLE_KEY
+        stored = await self._newest_table()
+        if stored is None:
+            return
+        try:
+            version = await self._store.put(key, stored.value, stored.version)
+        except errors.StoreConflictError as error:
+            stored = await self._newest_table()
+            if stored is None or stored.version < error.found:
+                raise errors.StoreError(
+                    errors.ErrorCode.STORE_UNAVAILABLE,
+                    f"reads of {key!r} are older than version {error.found}",
+                ) from error
+            version = stored.version
+        self._reached()
+        self._put(platform.Stored(key, version, stored.value))
+
+    async def _newest_table(self) -> platform.Stored | None:
+        """Returns the newer one of what the store and the peers show."""
+        key = table.TABLE_KEY
+        found = await self._store.get(key)
+        self._reached()
+        known = self._node.objects.get(key)
+        if known is None or (found and found.version >= known.version):
+            return found
+        return platform.Stored(key, known.version, known.value)
+
     async def _read(self, key: str) -> None:
         found = await self._store.get(key)
         self._reached()
--- a/src/sassafrashold/tests/test_recent_quantile_forgets.py
+++ b/src/sassafrashold/tests/test_recent_quantile_forgets.py
@@ -11,10 +11,10 @@
     recent = quantiles.RecentQuantile(90, window=10_000 * _MS)
     for number in range(100):
         recent.record(3000 * _MS, number * _MS)
-    assert recent.value(200 * _MS) >= 2900 * _MS
+    assert (recent.value(200 * _MS) or 0 * _MS) >= 2900 * _MS
     assert recent.value(30_000 * _MS) is None
     recent.record(10 * _MS, 30_000 * _MS)
     assert recent.value(30_000 * _MS) is None
     for number in range(40):
         recent.record(10 * _MS, (30_001 + number) * _MS)
-    assert recent.value(30_050 * _MS) <= 11 * _MS
+    assert 9 * _MS <= (recent.value(30_050 * _MS) or 0 * _MS) <= 11 * _MS
--- a/tests/integration/test_configuration.py
+++ b/tests/integration/test_configuration.py
@@ -96,18 +96,18 @@
     await _assert_in_force(proof, await _edit(proof))
 
 
-@pytest.mark.parametrize("outage", ["stale", "stale and slow"])
+@pytest.mark.parametrize("lost_answers", [0, 1])
 async def test_restarts_of_all_hosts_put_no_older_revision_in_force(
-    proof, outage
+    proof, lost_answers
 ):
-    """Reads show the state before the edit while nothing remembers it."""
+    """All reads show the state before the edit while no host remembers it."""
     accepted = await _edit(proof)
     await _assert_in_force(proof, accepted)
     await proof.cluster.set_platform_faults(
-        stale_ms=20_000,
-        stale_percent=80,
+        stale_ms=7_000,
+        stale_percent=100,
         key_prefix="config/",
-        slow_ms=200 if "slow" in outage else 0,
+        lost_answers=lost_answers,
     )
     for host in proof.hosts:
         for process in proof.cluster.host(host):
