Hedge a straggler by its replicas' p95 and again after a busy answer

Change: a leaf whose p95 is over twice the lowest of its shard borrows that one; a leaf that answered LEAF_BUSY gets no hedge for 20 ms, then may get one of up to three per shard, each paid from the budget; a hedge that finds no replica looks again after 10 ms. Attempts have a module of their own.

--- a/src/sassafrashold/search/__init__.py
+++ b/src/sassafrashold/search/__init__.py
@@ -1,12 +1,12 @@
 """Query plans over many shards: scatter, hedging, retries, coverage."""
 
+from sassafrashold.search._attempt import Attempt
+from sassafrashold.search._attempt import AttemptKind
 from sassafrashold.search._budget import ExtraLoadBudget
 from sassafrashold.search._coverage import Coverage
 from sassafrashold.search._failures import Reaction
 from sassafrashold.search._failures import reaction_to
 from sassafrashold.search._leafs import LeafTracker
-from sassafrashold.search._plan import Attempt
-from sassafrashold.search._plan import AttemptKind
 from sassafrashold.search._plan import QueryPlan
 from sassafrashold.search._plan import Step
 from sassafrashold.search._replicas import ReplicaChooser
--- a/src/sassafrashold/search/_leafs.py
+++ b/src/sassafrashold/search/_leafs.py
@@ -35,7 +35,8 @@
 _BACKOFF_MIN = datetime.timedelta(milliseconds=100)
 _BACKOFF_MAX = datetime.timedelta(seconds=5)
 _BACKOFF_MAX_DOUBLINGS = 6
-_BUSY_FOR = datetime.timedelta(milliseconds=50)
+# About one leaf call; the owner decides again whether the leaf is still full.
+_BUSY_FOR = datetime.timedelta(milliseconds=20)
 _MOVING_FOR = datetime.timedelta(milliseconds=50)
 _GONE_FOR = datetime.timedelta(seconds=10)
 
--- a/src/sassafrashold/search/_plan.py
+++ b/src/sassafrashold/search/_plan.py
@@ -9,6 +9,7 @@
 import typing
 
 from sassafrashold import errors
+from sassafrashold.search import _attempt
 from sassafrashold.search import _budget
 from sassafrashold.search import _coverage
 from sassafrashold.search import _failures
@@ -18,61 +19,18 @@
 from sassafrashold.search import _topology
 
 _MAX_PAID_RETRIES = 5
-
-
-class AttemptKind(enum.Enum):
-    """Why a sub-query is sent."""
-
-    PRIMARY = "primary"
-    HEDGE = "hedge"
-    RETRY = "retry"
-
-
-class Attempt:
-    """One sub-query that was sent for a shard; its outcome is set once."""
-
-    __slots__ = (
-        "ended",
-        "extra",
-        "kind",
-        "leaf_ms",
-        "number",
-        "outcome",
-        "queue_ms",
-        "replica",
-        "shard",
-        "started",
-    )
-
-    def __init__(
-        self,
-        number: int,
-        shard: int,
-        replica: _topology.Replica,
-        kind: AttemptKind,
-        extra: bool,
-        started: datetime.timedelta,
-    ) -> None:
-        self.number = number
-        self.shard = shard
-        self.replica = replica
-        self.kind = kind
-        self.extra = extra
-        self.started = started
-        self.ended: datetime.timedelta | None = None
-        self.outcome = "OPEN"
-        self.queue_ms: int | None = None
-        self.leaf_ms: int | None = None
+_MAX_HEDGES = 3
+_HEDGE_RECHECK = datetime.timedelta(milliseconds=10)
 
 
 @dataclasses.dataclass(frozen=True)
 class Step:
     """What the scatter has to do after an event."""
 
-    send: tuple[Attempt, ...] = ()
+    send: tuple[_attempt.Attempt, ...] = ()
     """Sub-queries to send."""
 
-    abandoned: tuple[Attempt, ...] = ()
+    abandoned: tuple[_attempt.Attempt, ...] = ()
     """Open sub-queries whose results are no longer wanted."""
 
 
@@ -93,6 +51,7 @@
         "excluded",
         "free_retries",
         "gone",
+        "hedges",
         "number",
         "open",
         "paid_retries",
@@ -107,10 +66,11 @@
     ) -> None:
         self.number = number
         self.replicas = replicas
-        self.open: list[Attempt] = []
+        self.open: list[_attempt.Attempt] = []
         self.tried: set[str] = set()
         self.excluded: set[str] = set()
         self.gone = 0
+        self.hedges = 0
         self.paid_retries = 0
         self.free_retries = 0
         self.settled = False
@@ -158,12 +118,14 @@
             for number, replicas in enumerate(topology.replicas_by_shard)
         ]
         self._timers: list[
-            tuple[datetime.timedelta, int, _Shard, _Timer, Attempt | None]
+            tuple[
+                datetime.timedelta, int, _Shard, _Timer, _attempt.Attempt | None
+            ]
         ] = []
         self._timer_numbers = itertools.count()
         self._unsettled = 0
         self._certainly_not_run = True
-        self.attempts: list[Attempt] = []
+        self.attempts: list[_attempt.Attempt] = []
         self.version_gone = False
         self.late_results = 0
 
@@ -222,10 +184,10 @@
         self._budget.earn(len(served))
         return Step(
             tuple(
-                self._attempt(
+                self._make_attempt(
                     shard,
                     self._chooser.primary(shard.replicas, now),
-                    AttemptKind.PRIMARY,
+                    _attempt.AttemptKind.PRIMARY,
                     False,
                     now,
                 )
@@ -235,7 +197,7 @@
 
     def on_rows(
         self,
-        attempt: Attempt,
+        attempt: _attempt.Attempt,
         version: str | None,
         rows: bytes,
         now: datetime.timedelta,
@@ -270,7 +232,7 @@
 
     def on_failure(
         self,
-        attempt: Attempt,
+        attempt: _attempt.Attempt,
         error: errors.SassafrasError,
         now: datetime.timedelta,
     ) -> Step:
@@ -288,6 +250,9 @@
         reaction = _failures.reaction_to(error)
         if reaction is _failures.Reaction.EXCLUDE:
             self._exclude(shard, attempt, error)
+        if error.code is errors.ErrorCode.LEAF_BUSY:
+            # It did not reach the leaf, which is avoided while it is busy.
+            shard.tried.discard(attempt.replica.leaf_id)
         if shard.open:
             # A failed hedge does not use up the chance of another one.
             self._schedule(now, shard, _Timer.HEDGE, shard.open[0])
@@ -318,7 +283,7 @@
         """Sends the hedges and retries that are due."""
         if now >= self._deadline:
             return self.close(now)
-        send: list[Attempt] = []
+        send: list[_attempt.Attempt] = []
         while self._timers and self._timers[0][0] <= now:
             _, _, shard, timer, attempt = heapq.heappop(self._timers)
             if not shard.settled:
@@ -327,7 +292,7 @@
 
     def close(self, now: datetime.timedelta) -> Step:
         """Ends the plan; shards without a result are missing."""
-        abandoned: list[Attempt] = []
+        abandoned: list[_attempt.Attempt] = []
         for shard in self._shards:
             if not shard.settled:
                 abandoned.extend(
@@ -335,15 +300,15 @@
                 )
         return Step(abandoned=tuple(abandoned))
 
-    def _attempt(
+    def _make_attempt(
         self,
         shard: _Shard,
         replica: _topology.Replica,
-        kind: AttemptKind,
+        kind: _attempt.AttemptKind,
         extra: bool,
         now: datetime.timedelta,
-    ) -> Attempt:
-        attempt = Attempt(
+    ) -> _attempt.Attempt:
+        attempt = _attempt.Attempt(
             len(self.attempts), shard.number, replica, kind, extra, now
         )
         self.attempts.append(attempt)
@@ -356,7 +321,7 @@
         return attempt
 
     def _end(
-        self, attempt: Attempt, outcome: str, now: datetime.timedelta
+        self, attempt: _attempt.Attempt, outcome: str, now: datetime.timedelta
     ) -> None:
         attempt.ended = now
         attempt.outcome = outcome
@@ -381,7 +346,7 @@
 
     def _blame(
         self,
-        attempt: Attempt,
+        attempt: _attempt.Attempt,
         error: errors.SassafrasError,
         now: datetime.timedelta,
     ) -> None:
@@ -401,7 +366,10 @@
             attempt.replica.record.record_unfinished(now - attempt.started, now)
 
     def _exclude(
-        self, shard: _Shard, attempt: Attempt, error: errors.SassafrasError
+        self,
+        shard: _Shard,
+        attempt: _attempt.Attempt,
+        error: errors.SassafrasError,
     ) -> None:
         shard.excluded.add(attempt.replica.leaf_id)
         if error.code is errors.ErrorCode.VERSION_GONE:
@@ -413,7 +381,7 @@
         self,
         shard: _Shard,
         timer: _Timer,
-        attempt: Attempt | None,
+        attempt: _attempt.Attempt | None,
         now: datetime.timedelta,
     ) -> Step:
         match timer:
@@ -428,20 +396,32 @@
         typing.assert_never(timer)
 
     def _hedge(
-        self, shard: _Shard, attempt: Attempt | None, now: datetime.timedelta
+        self,
+        shard: _Shard,
+        attempt: _attempt.Attempt | None,
+        now: datetime.timedelta,
     ) -> Step:
         """Sends a hedge for an attempt that is still the only open one."""
         if attempt is None or shard.open != [attempt]:
             return _NOTHING
+        if shard.hedges >= _MAX_HEDGES:
+            return _NOTHING
         replica = self._chooser.hedge(shard.replicas, now, shard.tried)
         if replica is None:
+            if len(shard.tried) < len(shard.replicas):
+                # A replica that is busy or in back-off may be free soon.
+                due = now + _HEDGE_RECHECK
+                self._schedule(due, shard, _Timer.HEDGE, attempt)
             return _NOTHING
         if not self._budget.try_spend():
             # Another query may leave a token before this one ends.
             wait = max(now - attempt.started, _leafs.HEDGE_DELAY_MIN)
             self._schedule(now + wait, shard, _Timer.HEDGE, attempt)
             return _NOTHING
-        hedge = self._attempt(shard, replica, AttemptKind.HEDGE, True, now)
+        shard.hedges += 1
+        hedge = self._make_attempt(
+            shard, replica, _attempt.AttemptKind.HEDGE, True, now
+        )
         return Step((hedge,))
 
     def _retry(
@@ -453,7 +433,11 @@
         if replica is None:
             return self._settle(shard, now)
         return Step(
-            (self._attempt(shard, replica, AttemptKind.RETRY, extra, now),)
+            (
+                self._make_attempt(
+                    shard, replica, _attempt.AttemptKind.RETRY, extra, now
+                ),
+            )
         )
 
     def _schedule_paid_retry(
@@ -481,7 +465,7 @@
         due: datetime.timedelta,
         shard: _Shard,
         timer: _Timer,
-        attempt: Attempt | None,
+        attempt: _attempt.Attempt | None,
     ) -> None:
         heapq.heappush(
             self._timers,
--- a/src/sassafrashold/search/_replicas.py
+++ b/src/sassafrashold/search/_replicas.py
@@ -10,6 +10,8 @@
 from sassafrashold.search import _leafs
 from sassafrashold.search import _topology
 
+_STRAGGLER_FACTOR = 2
+
 
 class ReplicaChooser:
     """Chooses leafs by zone weight, own load, latency and failures.
@@ -92,17 +94,19 @@
         """Returns the p95 of the leaf after which a hedge is due.
 
         A leaf without enough recent samples borrows the lowest p95 among the
-        replicas of its shard.
+        replicas of its shard. So does a straggler: its own p95 would delay the
+        hedge to the time at which the straggler answers.
         """
-        delay = replica.record.hedge_delay(now)
-        if delay is not None:
-            return delay
+        own = replica.record.hedge_delay(now)
         known = [
             delay
             for delay in (r.record.hedge_delay(now) for r in replicas)
             if delay is not None
         ]
-        return min(known, default=_leafs.HEDGE_DELAY_UNKNOWN)
+        lowest = min(known, default=_leafs.HEDGE_DELAY_UNKNOWN)
+        if own is None or own > lowest * _STRAGGLER_FACTOR:
+            return lowest
+        return own
 
     def _is_healthy(
         self, replica: _topology.Replica, now: datetime.timedelta
--- a/src/sassafrashold/search/_request.py
+++ b/src/sassafrashold/search/_request.py
@@ -4,8 +4,8 @@
 import datetime
 
 from sassafrashold import errors
+from sassafrashold.search import _attempt
 from sassafrashold.search import _coverage
-from sassafrashold.search import _plan
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -99,7 +99,7 @@
     started: datetime.timedelta
     """Monotonic start of the search."""
 
-    attempts: tuple[_plan.Attempt, ...]
+    attempts: tuple[_attempt.Attempt, ...]
     """All sub-queries in order of sending; read by `reports`."""
 
     def reports(self) -> list[AttemptReport]:
--- a/src/sassafrashold/search/_scatter.py
+++ b/src/sassafrashold/search/_scatter.py
@@ -15,8 +15,8 @@
 from sassafrashold import settings
 from sassafrashold import telemetry
 from sassafrashold import wire
+from sassafrashold.search import _attempt
 from sassafrashold.search import _leafs
-from sassafrashold.search import _plan
 from sassafrashold.search import _request
 from sassafrashold.telemetry import tracing
 
@@ -25,7 +25,7 @@
 class Rows:
     """A sub-query has a result."""
 
-    attempt: _plan.Attempt
+    attempt: _attempt.Attempt
     """The sub-query."""
 
     version: str | None
@@ -39,7 +39,7 @@
 class Failure:
     """A sub-query has failed."""
 
-    attempt: _plan.Attempt
+    attempt: _attempt.Attempt
     """The sub-query."""
 
     error: errors.SassafrasError
@@ -58,7 +58,7 @@
     """One scatter message under way; owned by its task."""
 
     def __init__(
-        self, address: settings.Address, attempts: list[_plan.Attempt]
+        self, address: settings.Address, attempts: list[_attempt.Attempt]
     ) -> None:
         self.address = address
         self.open_by_key = {(a.shard, a.replica.leaf_id): a for a in attempts}
@@ -112,11 +112,11 @@
 
     def send(
         self,
-        attempts: Iterable[_plan.Attempt],
-        address_of: Callable[[_plan.Attempt], settings.Address | None],
+        attempts: Iterable[_attempt.Attempt],
+        address_of: Callable[[_attempt.Attempt], settings.Address | None],
     ) -> None:
         """Starts one message for each address."""
-        by_address: dict[settings.Address, list[_plan.Attempt]] = {}
+        by_address: dict[settings.Address, list[_attempt.Attempt]] = {}
         for attempt in attempts:
             address = address_of(attempt)
             if address is None:
@@ -130,7 +130,7 @@
             message.task = asyncio.create_task(self._run(message, group))
             self._messages.add(message)
 
-    def abandon(self, attempts: Iterable[_plan.Attempt]) -> None:
+    def abandon(self, attempts: Iterable[_attempt.Attempt]) -> None:
         """Cancels the messages that have no wanted sub-query left."""
         for attempt in attempts:
             message = self._message_by_attempt.get(attempt.number)
@@ -160,7 +160,7 @@
             await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _run(
-        self, message: _Message, attempts: list[_plan.Attempt]
+        self, message: _Message, attempts: list[_attempt.Attempt]
     ) -> None:
         request = self._request
         with self._tracer.span(
@@ -218,7 +218,7 @@
         attempt.leaf_ms = result.leaf_ms
         self._report(_event(attempt, result))
 
-    def _encode(self, attempts: list[_plan.Attempt]) -> bytes:
+    def _encode(self, attempts: list[_attempt.Attempt]) -> bytes:
         return wire.encode(
             wire.messages.ScatterRequest(
                 request_id=self._request.request_id,
@@ -249,7 +249,7 @@
             self._tracker.owner_failed(message.address, self._monotonic())
 
 
-def _event(attempt: _plan.Attempt, result: Any) -> Event:
+def _event(attempt: _attempt.Attempt, result: Any) -> Event:
     if result.error is not None:
         return Failure(attempt, wire.error_from_wire(result.error))
     rows = result.rows
@@ -265,7 +265,7 @@
     return Rows(attempt, result.index_version, rows)
 
 
-def _no_owner(attempt: _plan.Attempt) -> errors.SassafrasError:
+def _no_owner(attempt: _attempt.Attempt) -> errors.SassafrasError:
     return errors.SearchError(
         errors.ErrorCode.UNAVAILABLE,
         f"no owner is known for leaf {attempt.replica.leaf_id}",
--- a/src/sassafrashold/search/tests/test_replica_choice.py
+++ b/src/sassafrashold/search/tests/test_replica_choice.py
@@ -80,6 +80,22 @@
     assert _counts(tracker, replicas)["a"] == 0
 
 
+@pytest.mark.parametrize(
+    ("own_ms", "other_ms", "expected_ms"),
+    [(10, 8, 10), (None, 8, 8), (8, None, 8), (80, 8, 8), (None, None, 100)],
+)
+def test_a_straggler_or_unknown_leaf_borrows_the_hedge_delay(
+    own_ms, other_ms, expected_ms
+):
+    tracker, replicas = _setup()
+    for replica, latency in zip(replicas, (own_ms, other_ms), strict=True):
+        for _ in range(40 if latency else 0):
+            replica.record.record(latency * _MS, 100 * _MS)
+    chooser = search.ReplicaChooser(tracker, random.Random(1), lambda r: None)
+    delay = chooser.hedge_delay(replicas[0], replicas, 100 * _MS)
+    assert delay / _MS == pytest.approx(expected_ms, rel=0.1)
+
+
 @pytest.mark.parametrize(
     "fail",
     [
