--- a/src/sassafrashold/leafs/client.py
+++ b/src/sassafrashold/leafs/client.py
@@ -13,10 +13,12 @@
 from sassafrashold import clock as clock_lib
 from sassafrashold import documents
 from sassafrashold import errors
+from sassafrashold import leafs
 from sassafrashold import settings
 
 _CONNECT_TIMEOUT_S = 0.5
 _SIDE_CALL_TIMEOUT_S = 0.5
+_CLOCK_AGREEMENT_S = leafs.CLOCK_AGREEMENT.total_seconds()
 _KEEP_OPEN_S = 3600.0
 _HEADERS = {"Content-Type": "application/json"}
 _CODE_BY_REFUSAL = {
@@ -126,6 +128,8 @@
 
         Raises:
             LeafError: NOT_RUN only if the leaf said so or was not reached.
+                DEADLINE_EXCEEDED only when the leaf no longer works for the
+                call, at most 0.5 s after the deadline.
         """
         head = documents.dump(
             {
@@ -176,14 +180,14 @@
         )
 
     async def cancel(self, request_id: str) -> bool:
-        """Asks the leaf to stop a call.
+        """Asks the leaf to stop a query call.
 
         Returns:
-            Whether the leaf says that it has stopped it.
+            Whether the leaf has confirmed that it does not work for the call:
+            it has stopped it or does not know it.
         """
         document = await self._side_call("DELETE", f"requests/{request_id}")
-        cancelled = (document or {}).get("cancelled")
-        return isinstance(cancelled, int) and cancelled > 0
+        return document is not None and "cancelled" in document
 
     async def health(self) -> Health | None:
         """Returns the leaf's own report; None if it gives none."""
@@ -206,6 +210,8 @@
                 async with self._session.request(
                     method, self._base + path, timeout=timeout
                 ) as response:
+                    if response.status != 200:
+                        return None
                     document = json.loads(await response.read())
             except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
                 return None
@@ -227,8 +233,11 @@
         headers = _HEADERS
         if traceparent is not None:
             headers = {**_HEADERS, "traceparent": traceparent}
+        # The leaf ends the call at the deadline by its own clock. Waiting for
+        # that end tells when the slot is free.
         timeout = aiohttp.ClientTimeout(
-            total=remaining, sock_connect=_CONNECT_TIMEOUT_S
+            total=remaining + _CLOCK_AGREEMENT_S,
+            sock_connect=min(remaining, _CONNECT_TIMEOUT_S),
         )
         try:
             async with self._session.post(
