--- a/benchmarks/common.py
+++ b/benchmarks/common.py
@@ -19,11 +19,15 @@
 from typing import Any
 
 import matplotlib
+import psutil
 
 matplotlib.use("Agg")
 from matplotlib import pyplot
 
+from sassafrashold import clock
 from sassafrashold import load
+from sassafrashold import table
+from sassafrashold.platform import http as platform_http
 from sassafrashold.standins import deployment as deployment_lib
 from sassafrashold.standins import harness
 
@@ -111,6 +115,46 @@
     )
 
 
+async def edit(cluster: harness.Cluster, change: table.Change) -> int:
+    """Makes an edit as sassafras-ctl does; returns the accepted revision."""
+    system_clock = clock.SystemClock()
+    store = platform_http.HttpPlatform(
+        cluster.deployment.platform, system_clock
+    )
+    try:
+        editor = table.Editor(store, system_clock)
+        accepted = await editor.apply(change, who="benchmark", note="")
+    finally:
+        await store.close()
+    return accepted.revision
+
+
+async def facts_of(cluster: harness.Cluster, host: str) -> list[Any]:
+    """Returns the facts of a host's status page."""
+    address = cluster.deployment.host_by_name[host].entry_http
+    document = await cluster.get(address, "/v1/status")
+    facts = document["facts"] if isinstance(document, dict) else document
+    return list(facts)
+
+
+async def revision_in_force(cluster: harness.Cluster, host: str) -> int:
+    """Returns the table revision that the entry of a host has in force."""
+    for fact in await facts_of(cluster, host):
+        if fact["name"] == "table_revision" and fact["value"] is not None:
+            return int(fact["value"])
+    return 0
+
+
+def core_seconds(cluster: harness.Cluster, suffix: str) -> float:
+    """Returns the processor time of all processes of one kind, in seconds."""
+    total = 0.0
+    for name, process in cluster.process_by_name.items():
+        if name.endswith(suffix) and process.is_running:
+            times = psutil.Process(process.pid).cpu_times()
+            total += times.user + times.system
+    return total
+
+
 def save(name: str, result: Mapping[str, Any]) -> pathlib.Path:
     """Writes a result with the time and the machine of the run."""
     RESULTS.mkdir(exist_ok=True)
--- a/benchmarks/straggler.py
+++ b/benchmarks/straggler.py
@@ -10,13 +10,9 @@
 
 import common
 
-from sassafrashold import clock
 from sassafrashold import load
-from sassafrashold import platform
 from sassafrashold import table
-from sassafrashold.platform import http as platform_http
 from sassafrashold.standins import deployment as deployment_lib
-from sassafrashold.standins import harness
 
 _SHARDS = 20
 _SLOTS = 3
@@ -48,26 +44,6 @@
 )
 
 
-async def _mark_out(cluster: harness.Cluster, host: str) -> None:
-    """Marks a host out, as sassafras-ctl does."""
-    store = platform_http.HttpPlatform(
-        cluster.deployment.platform, clock.SystemClock()
-    )
-    try:
-        stored = await store.get(table.TABLE_KEY)
-        assert isinstance(stored, platform.Stored)
-        known = table.Table.decode(stored.value)
-        changed = table.Table(
-            known.revision + 1,
-            known.rows,
-            table.Marks(known.marks.zones, known.marks.hosts | {host}),
-            known.edits,
-        )
-        await store.put(table.TABLE_KEY, changed.encode(), stored.version)
-    finally:
-        await store.close()
-
-
 async def _run(
     variant: common.Variant, straggler: bool, oracle: bool = False
 ) -> dict[str, Any]:
@@ -78,7 +54,7 @@
                 {"leaf": leaf.leaf_id}, straggle_factor=_FACTOR
             )
         if oracle:
-            await _mark_out(cluster, leaf.host)
+            await common.edit(cluster, table.Mark("hosts", leaf.host, True))
         await asyncio.sleep(4)
         return await common.search_load(
             cluster,
