--- a/src/sassafrashold/lease/__init__.py
+++ b/src/sassafrashold/lease/__init__.py
@@ -10,9 +10,9 @@
 from sassafrashold.lease._release import Situation
 from sassafrashold.lease._state import MAX_EARLIER
 from sassafrashold.lease._state import LeaseState
-from sassafrashold.lease._state import Outcome
-from sassafrashold.lease._state import Write
-from sassafrashold.lease._state import WriteKind
+from sassafrashold.lease._write import Outcome
+from sassafrashold.lease._write import Write
+from sassafrashold.lease._write import WriteKind
 
 __all__ = [
     "KEY_PREFIX",
--- a/src/sassafrashold/lease/_state.py
+++ b/src/sassafrashold/lease/_state.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 import dataclasses
 import datetime
-import enum
 
 from sassafrashold import errors
 from sassafrashold import membership
@@ -11,6 +10,7 @@
 from sassafrashold.lease import _evidence
 from sassafrashold.lease import _proposal
 from sassafrashold.lease import _release
+from sassafrashold.lease import _write
 
 MAX_EARLIER = 8
 
@@ -32,37 +32,6 @@
 _STORE_RECENT = datetime.timedelta(milliseconds=2500)
 
 
-class WriteKind(enum.Enum):
-    """Why the lease object is written."""
-
-    CREATE = "create"
-    RENEW = "renew"
-    PROPOSE = "propose"
-
-
-@dataclasses.dataclass(frozen=True)
-class Write:
-    """One conditional update of the lease object."""
-
-    kind: WriteKind
-    """Why it is written."""
-
-    expected_version: int
-    """Version that it replaces; 0 creates the object."""
-
-    lease: _document.ZoneLease
-    """The new lease."""
-
-
-class Outcome(enum.Enum):
-    """What is known about a write after its call ended."""
-
-    APPLIED = "applied"
-    CONFLICT = "conflict"
-    NOT_RUN = "not_run"
-    UNKNOWN = "unknown"
-
-
 class LeaseState:
     """What one host knows and has promised about its zone's lease.
 
@@ -103,8 +72,8 @@
         self._stopped = False
         self._retry_at = start
         self._propose_from = start
-        self._under_way: Write | None = None
-        self._unresolved: Write | None = None
+        self._under_way: _write.Write | None = None
+        self._unresolved: _write.Write | None = None
         self._unresolved_sent = start
         self._store_reached: datetime.timedelta | None = None
 
@@ -124,7 +93,7 @@
         return 0 if self._lease is None else self._lease.epoch
 
     @property
-    def unresolved(self) -> Write | None:
+    def unresolved(self) -> _write.Write | None:
         """A proposal whose outcome is not known yet."""
         return self._unresolved
 
@@ -267,7 +236,7 @@
             None if promised is None else _evidence.Proof(promised, "promises"),
         )
 
-    def next_write(self, now: datetime.timedelta) -> Write | None:
+    def next_write(self, now: datetime.timedelta) -> _write.Write | None:
         """Returns the update to send now, if there is one.
 
         The caller sends it at once and reports its end with `finish`.
@@ -282,7 +251,7 @@
         self._under_way = write
         return write
 
-    def first_write(self, now: datetime.timedelta) -> Write | None:
+    def first_write(self, now: datetime.timedelta) -> _write.Write | None:
         """Returns the update that creates the lease of a new zone.
 
         To be called when the store has said that there is no lease. Creation is
@@ -299,13 +268,13 @@
         lease = _document.ZoneLease(
             self._members.zone, 1, members, (), 0, self._new_write_id()
         )
-        self._under_way = Write(WriteKind.CREATE, 0, lease)
+        self._under_way = _write.Write(_write.WriteKind.CREATE, 0, lease)
         return self._under_way
 
     def finish(
         self,
-        write: Write,
-        outcome: Outcome,
+        write: _write.Write,
+        outcome: _write.Outcome,
         *,
         version: int,
         sent: datetime.timedelta,
@@ -324,28 +293,31 @@
         if write is self._unresolved:
             # The first attempt may be the one that took effect.
             sent = self._unresolved_sent
-        if outcome in (Outcome.UNKNOWN, Outcome.CONFLICT):
+        if outcome in (_write.Outcome.UNKNOWN, _write.Outcome.CONFLICT):
             self._keep_open(write, sent)
-        if outcome is Outcome.APPLIED:
+        if outcome is _write.Outcome.APPLIED:
             self.store_reached(now)
             self.record_renewal(write.lease.epoch, sent)
             self.learn(write.lease, version, now)
             return
         self._retry_at = now + _RETRY_DELAY
-        if outcome is Outcome.NOT_RUN and write.kind is WriteKind.PROPOSE:
+        if (
+            outcome is _write.Outcome.NOT_RUN
+            and write.kind is _write.WriteKind.PROPOSE
+        ):
             # This host has no way to the store. It promises again, and the
             # next member of the ranking proposes.
             self._propose_from = now + _PROPOSAL_BACKOFF
             self._abandon_change()
 
-    def _keep_open(self, write: Write, sent: datetime.timedelta) -> None:
+    def _keep_open(self, write: _write.Write, sent: datetime.timedelta) -> None:
         """Remembers a proposal until a later version of the lease is known.
 
         A conflict ends it no more than a lost answer does: an earlier attempt
         of the same proposal may be what it conflicts with.
         """
         if (
-            write.kind is WriteKind.PROPOSE
+            write.kind is _write.WriteKind.PROPOSE
             and write.expected_version >= self._version
         ):
             self._unresolved = write
@@ -364,7 +336,7 @@
     def _is_proposal_open(self) -> bool:
         under_way = self._under_way
         return self._unresolved is not None or (
-            under_way is not None and under_way.kind is WriteKind.PROPOSE
+            under_way is not None and under_way.kind is _write.WriteKind.PROPOSE
         )
 
     def _is_settled(self) -> bool:
@@ -401,7 +373,7 @@
             and previous.made > self._start - _evidence.LEASE_TIME
         )
 
-    def _next_renewal(self, now: datetime.timedelta) -> Write | None:
+    def _next_renewal(self, now: datetime.timedelta) -> _write.Write | None:
         lease = self._lease
         situation = self.situation(now)
         if lease is None or situation is None:
@@ -417,7 +389,7 @@
             lease.with_renewal(self._new_write_id()),
             earlier=situation.pruned_earlier(),
         )
-        return Write(WriteKind.RENEW, self._version, update)
+        return _write.Write(_write.WriteKind.RENEW, self._version, update)
 
     def _renews_after(self, lease: _document.ZoneLease) -> datetime.timedelta:
         """Returns the age of the last renewal at which this host renews."""
@@ -431,7 +403,7 @@
         stagger = min(position - 2, _RENEW_MAX_STAGGER_RANK)
         return _OTHERS_RENEW_AFTER + stagger * _RENEW_STAGGER
 
-    def _next_proposal(self, now: datetime.timedelta) -> Write | None:
+    def _next_proposal(self, now: datetime.timedelta) -> _write.Write | None:
         if self._unresolved is not None:
             # Repeats the same update, which settles its outcome.
             return self._unresolved
@@ -458,7 +430,7 @@
 
     def _proposal(
         self, situation: _release.Situation, change: _proposal.Wanted
-    ) -> Write | None:
+    ) -> _write.Write | None:
         lease = situation.lease
         earlier = situation.pruned_earlier()
         if len(earlier) >= MAX_EARLIER:
@@ -470,7 +442,7 @@
             members=change.members,
             earlier=(previous, *earlier),
         )
-        return Write(WriteKind.PROPOSE, self._version, update)
+        return _write.Write(_write.WriteKind.PROPOSE, self._version, update)
 
     def _can_propose(self, now: datetime.timedelta) -> bool:
         """Returns whether it is worth while to stop promising.
--- /dev/null
+++ b/src/sassafrashold/lease/_write.py
@@ -0,0 +1,37 @@
+"""Updates of the lease object and what is known about their end."""
+
+import dataclasses
+import enum
+
+from sassafrashold.lease import _document
+
+
+class WriteKind(enum.Enum):
+    """Why the lease object is written."""
+
+    CREATE = "create"
+    RENEW = "renew"
+    PROPOSE = "propose"
+
+
+@dataclasses.dataclass(frozen=True)
+class Write:
+    """One conditional update of the lease object."""
+
+    kind: WriteKind
+    """Why it is written."""
+
+    expected_version: int
+    """Version that it replaces; 0 creates the object."""
+
+    lease: _document.ZoneLease
+    """The new lease."""
+
+
+class Outcome(enum.Enum):
+    """What is known about a write after its call ended."""
+
+    APPLIED = "applied"
+    CONFLICT = "conflict"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
