Keep a reserve of the extra-load budget for overdue sub-queries

Cause: with a straggler 10 times slower, hedges at the p95 of ordinary leafs used up the budget, and sub-queries at the straggler got none. Change: a hedge at the p95 leaves five tokens (or an eighth of a large bucket); from twice its delay on a sub-query may use them.

--- a/src/sassafrashold/search/_attempt.py
+++ b/src/sassafrashold/search/_attempt.py
@@ -20,6 +20,7 @@
     __slots__ = (
         "ended",
         "extra",
+        "is_overdue",
         "kind",
         "leaf_ms",
         "number",
@@ -46,6 +47,7 @@
         self.extra = extra
         self.started = started
         self.ended: datetime.timedelta | None = None
+        self.is_overdue = False
         self.outcome = "OPEN"
         self.queue_ms: int | None = None
         self.leaf_ms: int | None = None
--- a/src/sassafrashold/search/_budget.py
+++ b/src/sassafrashold/search/_budget.py
@@ -4,6 +4,8 @@
 # minimum lets a service with few shards save up for the loss of a leaf.
 _MIN_BURST = 10.0
 _BURST_QUERIES = 4
+_MIN_RESERVE = 5.0
+_RESERVE_SHARE = 0.125
 
 
 class ExtraLoadBudget:
@@ -43,9 +45,18 @@
         self._capacity = max(_MIN_BURST, gain * _BURST_QUERIES)
         self._tokens = min(self._tokens + gain, self._capacity)
 
-    def try_spend(self) -> bool:
-        """Takes a token for one extra call; False if there is none."""
-        if self._tokens < 1.0:
+    def try_spend(self, urgent: bool = True) -> bool:
+        """Takes a token for one extra call; False if there is none.
+
+        Args:
+            urgent: Whether the call may use the reserve. Hedges at the p95 do
+                not: they come all the time and would leave nothing for the
+                sub-queries of a straggler, which wait much longer.
+        """
+        reserve = 0.0
+        if not urgent:
+            reserve = max(_MIN_RESERVE, self._capacity * _RESERVE_SHARE)
+        if self._tokens < 1.0 + reserve:
             self.denied += 1
             return False
         self._tokens -= 1.0
--- a/src/sassafrashold/search/_plan.py
+++ b/src/sassafrashold/search/_plan.py
@@ -413,8 +413,10 @@
                 due = now + _HEDGE_RECHECK
                 self._schedule(due, shard, _Timer.HEDGE, attempt)
             return _NOTHING
-        if not self._budget.try_spend():
-            # Another query may leave a token before this one ends.
+        if not self._budget.try_spend(urgent=attempt.is_overdue):
+            # After twice the delay it may use the reserve, and another query
+            # may leave a token before this one ends.
+            attempt.is_overdue = True
             wait = max(now - attempt.started, _leafs.HEDGE_DELAY_MIN)
             self._schedule(now + wait, shard, _Timer.HEDGE, attempt)
             return _NOTHING
--- a/src/sassafrashold/search/tests/test_one_result_per_shard.py
+++ b/src/sassafrashold/search/tests/test_one_result_per_shard.py
@@ -219,6 +219,19 @@
     assert chooser.hedge(replicas, refused + 20 * _MS, ()) is replicas[0]
 
 
+def test_hedges_at_the_p95_leave_a_reserve_for_stragglers():
+    world = World(3, ["ab"] * 12, 50, deadline_ms=1000)
+    _first(world)
+    assert world.budget.tokens == 6
+    due = world.plan.next_due()
+    world.now = due
+    world.carry_out(world.plan.on_time(world.now))
+    assert world.budget.tokens == 5
+    world.now += due - 1000 * _MS
+    world.carry_out(world.plan.on_time(world.now))
+    assert world.budget.tokens == 0
+
+
 def test_a_hedge_that_found_no_free_replica_is_sent_when_there_is_one():
     world = World(3, ["ab"], 50)
     world.budget.earn(100)
