--- a/src/sassafrashold/control/_daemon.py
+++ b/src/sassafrashold/control/_daemon.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import datetime
 import logging
 import random
 import secrets
@@ -27,12 +28,20 @@
 _LOGGER = logging.getLogger(__name__)
 
 _LEASE_STEP_S = 0.2
-_TREE_S = 0.5
+# Neighbours in the tree are asked every third turn, and every second turn while
+# there are no renewals: promises then have to go up and down the tree within L.
+_TREE_TURN_S = 0.17
+_TREE_TURNS = 3
+_TREE_TURNS_WITHOUT_RENEWALS = 2
+_RENEWALS_MISSING_AFTER = datetime.timedelta(milliseconds=1500)
 _OTHER_ZONE_S = 2.0
 _SHARDMAPS_S = 1.0
 _OTHER_LEASES_S = 5.0
 _HOSTS_S = 2.0
 _RETRY_S = 1.0
+# Longer than the entry of the same host takes to start, because control
+# reaches the store through it.
+_STORE_PATIENCE = datetime.timedelta(seconds=3)
 _HOUSEKEEPING_S = 5.0
 _JITTER = 0.2
 
@@ -70,6 +79,7 @@
             metrics,
         )
         self._tasks: list[asyncio.Task[None]] = []
+        self._tree_turn = 0
         self.node: _node.Node
         """State of the process; set by `start`."""
 
@@ -115,14 +125,13 @@
         self._peers.announce([stored.key])
 
     def _run_tasks(self) -> None:
-        writer = _lease_writer.LeaseWriter(self.node, self._store)
+        self._writer = _lease_writer.LeaseWriter(self.node, self._store)
         readers = _readers.Readers(self.node, self._store)
         interval = self._values.gossip_interval_ms / 1000
         for step, seconds in (
-            (writer.step, _LEASE_STEP_S),
-            (self._announce_own, _LEASE_STEP_S),
+            (self._step_lease, _LEASE_STEP_S),
             (self._gossip_in_zone, interval),
-            (self._pull_on_tree, _TREE_S),
+            (self._pull_on_tree, _TREE_TURN_S),
             (self._gossip_with_other_zone, _OTHER_ZONE_S),
             (readers.read_shardmaps, _SHARDMAPS_S),
             (readers.read_other_leases, _OTHER_LEASES_S),
@@ -149,25 +158,38 @@
             await asyncio.sleep(seconds * jitter)
 
     async def _load(self, readers: _readers.Readers) -> None:
-        """Reads the store until this host is up to date by any way."""
-        # Peers are asked first; they cost the store no calls.
+        """Reads peers and store until this host is up to date.
+
+        What peers have counts without the store only if the store does not
+        answer for a while.
+        """
+        node = self.node
         await self._ask_peers()
-        while self.node.up_to_date_source is None:
+        end = node.started + _STORE_PATIENCE
+        while node.up_to_date_source is None:
             try:
                 await readers.load_all()
             except errors.SassafrasError as error:
                 _LOGGER.warning(
-                    "not up to date: no peer has all objects and the store"
-                    " does not answer",
+                    "not up to date: the table is not confirmed by the store",
                     extra={"error": str(error)},
                 )
+                reached = node.lease.store_reached_at
+                is_cut_off = reached is None or (
+                    node.now() - reached >= _STORE_PATIENCE
+                )
+                if node.complete_peer and is_cut_off and node.now() >= end:
+                    node.set_up_to_date(
+                        f"peer {node.complete_peer}, not confirmed"
+                    )
+                    return
                 await asyncio.sleep(_RETRY_S)
 
     async def _ask_peers(self) -> None:
         for address in self._values.seeds:
             if address != self.node.settings.listen:
                 await self._peers.exchange(address)
-            if self.node.up_to_date_source is not None:
+            if self.node.complete_peer is not None:
                 return
 
     async def _watch(self, readers: _readers.Readers) -> None:
@@ -178,8 +200,9 @@
             if not watched:
                 await asyncio.sleep(_RETRY_S)
 
-    async def _announce_own(self) -> None:
+    async def _step_lease(self) -> None:
         self._peers.announce_own()
+        await self._writer.step()
 
     async def _gossip_in_zone(self) -> None:
         address = self._peers.zone_peer()
@@ -187,7 +210,16 @@
             self._peers.start(self._peers.exchange(address))
 
     async def _pull_on_tree(self) -> None:
-        self._peers.pull_on_tree()
+        self._tree_turn += 1
+        renewed = self.node.lease.renewal_time()
+        missing = (
+            renewed is None
+            or self.node.now() - renewed > _RENEWALS_MISSING_AFTER
+        )
+        turns = _TREE_TURNS_WITHOUT_RENEWALS if missing else _TREE_TURNS
+        if self._tree_turn >= turns:
+            self._tree_turn = 0
+            self._peers.pull_on_tree()
 
     async def _gossip_with_other_zone(self) -> None:
         address = self._peers.other_zone_peer()
