Warm a leaf only by calls that began after it turned cold

Cause: after a silent cold start the owner counted answers to calls that the leaf had begun while it was warm, so its window grew before the leaf bore it: on almanac-leaf-01 the second slot came after 18 calls of the new generation instead of 20, and the leaf collapsed. Change: a success counts only if its call started after the last time the leaf was taken for cold.

--- a/src/sassafrashold/leafs/_state.py
+++ b/src/sassafrashold/leafs/_state.py
@@ -108,6 +108,7 @@
         self._clock = clock
         self._cold_start = cold_start
         self._window = limits.cold_start_slots
+        self._cold_since = clock.monotonic()
         self._successes = 0
         self._timeouts = 0
         self._troubles: collections.deque[bool] = collections.deque(
@@ -232,6 +233,9 @@
         if self.latency.record(now - call.started, call.size):
             self.become_cold()
             return
+        if call.started < self._cold_since:
+            # The leaf began it before it turned cold, so it warmed nothing.
+            return
         self._successes += 1
         if self._successes >= self._limits.warmup_successes:
             self._successes = 0
@@ -292,6 +296,7 @@
     def become_cold(self) -> None:
         """Puts the window back to the cold-start bound."""
         self._window = self._limits.cold_start_slots
+        self._cold_since = self._clock.monotonic()
         self._successes = 0
         self._troubles.clear()
         self.latency = _latency.Latency()
