Test that old calls do not warm a cold leaf

Cause: the fix of the window had only the integration test as a guard. Change: a unit test; the coverage test waits up to 30 s for leafs that are still probed after earlier faults.

--- a/src/sassafrashold/leafs/tests/test_leaf_adapts_to_load_and_faults.py
+++ b/src/sassafrashold/leafs/tests/test_leaf_adapts_to_load_and_faults.py
@@ -260,3 +260,21 @@
     else:
         bench.clock.advance(_ms(800))
     assert _shards(bench.start()) == [1]
+
+
+def test_calls_from_before_a_cold_start_warm_nothing():
+    """The leaf does not count them, so its bound would be exceeded."""
+    bench = Bench(COLD)
+    bench.warm()
+    batches = []
+    for shard in range(3):
+        bench.submit(shard, ms=60_000)
+        batches.append(bench.start())
+    bench.clock.advance(_ms(10))
+    for batch in batches:
+        bench.leaf.succeeded(batch, "2", {0: b"[]", 1: b"[]", 2: b"[]"})
+    for _ in range(4):
+        bench.run(10, "2")
+    assert bench.leaf.state.capacity(3) == 1
+    bench.run(10, "2")
+    assert bench.leaf.state.capacity(3) == 2
--- a/tests/integration/test_answers.py
+++ b/tests/integration/test_answers.py
@@ -100,10 +100,12 @@
         await harness.until(
             lambda host=host: _misses_only_one(proof, host, stream=False),
             f"{host} misses only shard 1",
+            30,
         )
         await harness.until(
             lambda host=host: _misses_only_one(proof, host, stream=True),
             f"{host} misses only shard 1 of a stream",
+            30,
         )
         status, answer = await proof.cluster.search(
             host, "almanac", {}, allow_partial=False, deadline_ms=1000
