Keep a warming leaf in use and send retries as ordinary work

Cause: a cold leaf is some times slower, so the entry took it for a straggler and sent probes only; it warms up only by calls. A retry carried the mark of a hedge, so a cold leaf refused it although it was the last replica. Change: results say whether the leaf is cold, and a slow leaf that warms up keeps half of its share; only hedges carry the mark, retries are still paid from the budget.

--- a/src/sassafrashold/leafs/_leaf.py
+++ b/src/sassafrashold/leafs/_leaf.py
@@ -166,6 +166,7 @@
                         batch.call.started - waiter.enqueued,
                         called,
                         len(batch.entries),
+                        self.state.cold,
                     )
                 answers.append((waiter, answer))
         return answers
--- a/src/sassafrashold/leafs/_work.py
+++ b/src/sassafrashold/leafs/_work.py
@@ -61,6 +61,9 @@
     batch_size: int
     """Items in the leaf call."""
 
+    cold: bool = False
+    """Whether the leaf has not reached its full load."""
+
 
 Answer = Rows | errors.SassafrasError
 
--- a/src/sassafrashold/owner/_service.py
+++ b/src/sassafrashold/owner/_service.py
@@ -381,6 +381,7 @@
                     queue_ms=clock_lib.to_ms(rows.queued),
                     leaf_ms=clock_lib.to_ms(rows.called),
                     batch_size=rows.batch_size,
+                    cold=rows.cold,
                 )
             )
         case _Answered(subquery, errors.SassafrasError() as error):
--- a/src/sassafrashold/search/_leafs.py
+++ b/src/sassafrashold/search/_leafs.py
@@ -90,12 +90,15 @@
         "backoff",
         "busy_until",
         "in_flight",
+        "is_warming",
     )
 
     def __init__(self) -> None:
         self.backoff = Backoff()
         self.busy_until = _ZERO
         self.in_flight = 0
+        # Whether the owner said with its last result that the leaf is cold.
+        self.is_warming = False
         self._estimate_us = 0.0
         self._next_probe = _ZERO
         self._probe_interval = _PROBE_INTERVAL_MIN
--- a/src/sassafrashold/search/_replicas.py
+++ b/src/sassafrashold/search/_replicas.py
@@ -13,6 +13,10 @@
 _STRAGGLER_FACTOR = 2
 
 
+# A cold leaf is slow, but warms up only by calls.
+_WARMING_SHARE = 0.5
+
+
 class ReplicaChooser:
     """Chooses leafs by zone weight, own load, latency and failures.
 
@@ -132,12 +136,11 @@
         total = 0.0
         for replica in replicas:
             record = replica.record
+            weight = replica.weight / (1 + record.in_flight)
             if _leafs.is_slow(record.estimate_us, best_us):
                 if record.claim_probe(now):
                     return replica
-                weights.append(0.0)
-                continue
-            weight = replica.weight / (1 + record.in_flight)
+                weight *= _WARMING_SHARE if record.is_warming else 0.0
             weights.append(weight)
             total += weight
         position = self._random.random() * total
--- a/src/sassafrashold/search/_scatter.py
+++ b/src/sassafrashold/search/_scatter.py
@@ -216,6 +216,8 @@
             return
         attempt.queue_ms = result.queue_ms
         attempt.leaf_ms = result.leaf_ms
+        if result.cold is not None:
+            attempt.replica.record.is_warming = bool(result.cold)
         self._report(_event(attempt, result))
 
     def _encode(self, attempts: list[_attempt.Attempt]) -> bytes:
@@ -229,7 +231,7 @@
                     wire.messages.SubQuery(
                         shard=attempt.shard,
                         leaf=attempt.replica.leaf_id,
-                        extra=attempt.extra,
+                        extra=attempt.kind is _attempt.AttemptKind.HEDGE,
                     )
                     for attempt in attempts
                 ],
--- a/src/sassafrashold/search/tests/test_replica_choice.py
+++ b/src/sassafrashold/search/tests/test_replica_choice.py
@@ -48,6 +48,17 @@
     assert _counts(tracker, replicas, now=10_000 * _MS)["a"] == 1
 
 
+def test_a_slow_leaf_keeps_a_share_while_it_warms_up():
+    tracker, replicas = _setup()
+    for _ in range(20):
+        replicas[0].record.record(50 * _MS, 100 * _MS)
+        replicas[1].record.record(5 * _MS, 100 * _MS)
+    replicas[0].record.is_warming = True
+    assert 250 < _counts(tracker, replicas)["a"] < 420
+    replicas[0].record.is_warming = False
+    assert _counts(tracker, replicas)["a"] == 0
+
+
 def test_probes_of_a_leaf_that_stays_slow_become_rare_until_it_recovers():
     tracker, replicas = _setup()
     slow, fast = (replica.record for replica in replicas)
--- a/src/sassafrashold/wire/gen/ttypes.py
+++ b/src/sassafrashold/wire/gen/ttypes.py
@@ -349,7 +349,7 @@
     Attributes:
      - shard
      - leaf
-     - extra: True for a hedge or a retry: refused by a cold, draining or full leaf.
+     - extra: True for a hedge: refused by a cold, draining or full leaf.
 
     """
 
@@ -612,6 +612,7 @@
      - queue_ms: Time in the owner's queue.
      - leaf_ms: Time of the leaf call.
      - batch_size: Sub-queries that shared the leaf call.
+     - cold: True while the leaf's cold-start window is below its slots.
 
     """
 
@@ -624,10 +625,11 @@
         'queue_ms',
         'leaf_ms',
         'batch_size',
+        'cold',
     )
 
 
-    def __init__(self, shard=None, leaf=None, rows=None, error=None, index_version=None, queue_ms=None, leaf_ms=None, batch_size=None,):
+    def __init__(self, shard=None, leaf=None, rows=None, error=None, index_version=None, queue_ms=None, leaf_ms=None, batch_size=None, cold=None,):
         self.shard = shard
         self.leaf = leaf
         self.rows = rows
@@ -636,6 +638,7 @@
         self.queue_ms = queue_ms
         self.leaf_ms = leaf_ms
         self.batch_size = batch_size
+        self.cold = cold
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -687,6 +690,11 @@
                     self.batch_size = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.cold = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -729,6 +737,10 @@
             oprot.writeFieldBegin('batch_size', TType.I32, 8)
             oprot.writeI32(self.batch_size)
             oprot.writeFieldEnd()
+        if self.cold is not None:
+            oprot.writeFieldBegin('cold', TType.BOOL, 9)
+            oprot.writeBool(self.cold)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3172,6 +3184,7 @@
     (6, TType.I32, 'queue_ms', None, None, ),  # 6
     (7, TType.I32, 'leaf_ms', None, None, ),  # 7
     (8, TType.I32, 'batch_size', None, None, ),  # 8
+    (9, TType.BOOL, 'cold', None, None, ),  # 9
 )
 all_structs.append(ScatterEnd)
 ScatterEnd.thrift_spec = (
--- a/src/sassafrashold/wire/idl/sassafras.thrift
+++ b/src/sassafrashold/wire/idl/sassafras.thrift
@@ -40,7 +40,7 @@
 struct SubQuery {
   1: required i32 shard;
   2: required string leaf;
-  /** True for a hedge or a retry: refused by a cold, draining or full leaf. */
+  /** True for a hedge: refused by a cold, draining or full leaf. */
   3: optional bool extra = false;
 }
 
@@ -68,6 +68,8 @@
   7: optional i32 leaf_ms;
   /** Sub-queries that shared the leaf call. */
   8: optional i32 batch_size;
+  /** True while the leaf's cold-start window is below its slots. */
+  9: optional bool cold;
 }
 
 struct ScatterEnd {
