Keep control running until its owner has handed over

Cause: control ended at once on SIGTERM, so the release of the leaving owner never reached the peers, and a leaving host could be first in turn to propose although its entry, the way to the store, ends first. The new owner waited out the hold-back: 25.1 s without a complete answer in a zone of two hosts without replicas. Ruled out: the owner, which waits for its hand-over and reports it. Change: control drains (drain_ms 9000); a leaving host proposes last; the owner's drain_ms is 8000.

--- a/src/sassafrashold/control/_daemon.py
+++ b/src/sassafrashold/control/_daemon.py
@@ -43,6 +43,11 @@
 # reaches the store through it.
 _STORE_PATIENCE = datetime.timedelta(seconds=3)
 _HOUSEKEEPING_S = 5.0
+_DRAIN_STEP_S = 0.1
+# An owner that is told to stop together with control says so by its next call.
+_OWNER_NOTICE = datetime.timedelta(seconds=1)
+# Peers ask for the last state of this host at once, but can need a second try.
+_FAREWELL = datetime.timedelta(seconds=1)
 _JITTER = 0.2
 
 
@@ -103,6 +108,25 @@
         self._run_tasks()
         return address
 
+    async def drain(self) -> None:
+        """Stays until the peers know that the local owner has handed over.
+
+        Without the release that only this process can pass on, the new owners
+        of its leafs would have to wait out the hold-back.
+        """
+        begin = self.node.now()
+        end = begin + clock_lib.from_ms(self._values.drain_ms)
+        handed_over: datetime.timedelta | None = None
+        while (now := self.node.now()) < end:
+            if not self.node.owner.leaving and now - begin > _OWNER_NOTICE:
+                return
+            if self.node.owner.leaving and self.node.has_handed_over():
+                handed_over = handed_over or now
+                if now - handed_over > _FAREWELL:
+                    return
+            await asyncio.sleep(_DRAIN_STEP_S)
+        _LOGGER.warning("the owner did not hand over in time")
+
     async def close(self) -> None:
         """Ends all tasks and closes the port."""
         for task in self._tasks:
@@ -243,4 +267,5 @@
     daemon = Daemon(values, clock_lib.SystemClock(), metrics)
     await daemon.start()
     await stopping.wait()
+    await daemon.drain()
     await daemon.close()
--- a/src/sassafrashold/control/_node.py
+++ b/src/sassafrashold/control/_node.py
@@ -82,6 +82,18 @@
         self.members.put_own(entry)
         return entry
 
+    def has_handed_over(self) -> bool:
+        """Returns whether the local owner owns nothing any more.
+
+        The last member of a zone has nobody to hand over to.
+        """
+        known = self.lease.lease
+        if known is None:
+            return True
+        if self.settings.host in known.member_by_host:
+            return len(known.members) == 1
+        return self.owner.released_epoch >= known.epoch
+
     def forget_gone_hosts(self) -> None:
         """Drops hosts that are long gone."""
         known = self.lease.lease
--- a/src/sassafrashold/control/_settings.py
+++ b/src/sassafrashold/control/_settings.py
@@ -22,6 +22,9 @@
     seeds: tuple[settings.Address, ...] = ()
     """Control addresses to ask before any lease is known."""
 
+    drain_ms: int = settings.option(default=9000, minimum=0, maximum=600_000)
+    """How long a leaving process waits for its owner to hand over."""
+
     gossip_interval_ms: int = settings.option(
         default=500, minimum=50, maximum=5000
     )
--- a/src/sassafrashold/lease/_state.py
+++ b/src/sassafrashold/lease/_state.py
@@ -467,16 +467,29 @@
         return now - max(times) > _evidence.LEASE_TIME
 
     def _turn_delay(self, situation: _release.Situation) -> datetime.timedelta:
-        """Returns how long a change must be wanted before this host acts."""
-        alive = [
+        """Returns how long a change must be wanted before this host acts.
+
+        A leaving host comes last: its entry, through which it reaches the
+        store, ends before its owner does.
+        """
+        staying = [
             member.host
             for member in situation.lease.members
             if self._members.is_fresh(member.host, situation.now)
+            and not self._is_leaving(member.host)
         ]
-        ranking = membership.rank(situation.lease.zone, alive)
-        position = ranking.index(self._members.host)
+        ranking = membership.rank(situation.lease.zone, staying)
+        own = self._members.host
+        position = ranking.index(own) if own in ranking else len(ranking)
         return min(position, _PROPOSER_MAX_RANK) * _PROPOSER_STAGGER
 
+    def _is_leaving(self, host: str) -> bool:
+        entry = self._members.get(host)
+        return (
+            entry is not None
+            and entry.description.state is membership.State.LEAVING
+        )
+
     def _abandon_change(self, keep_wanted: bool = False) -> None:
         """Lets this host promise again."""
         self._stopped = False
--- a/src/sassafrashold/owner/_settings.py
+++ b/src/sassafrashold/owner/_settings.py
@@ -16,7 +16,7 @@
     control: settings.Address
     """The local control process."""
 
-    drain_ms: int = settings.option(default=5000, minimum=0, maximum=600_000)
+    drain_ms: int = settings.option(default=8000, minimum=0, maximum=600_000)
     """How long a leaving process waits for its successor."""
 
     static_share_slots: int = settings.option(default=0, minimum=0, maximum=64)
