--- a/benchmarks/control_slopes.py
+++ b/benchmarks/control_slopes.py
@@ -31,6 +31,7 @@
 _MEASURE_S = 15.0
 _JOIN_TIMEOUT_S = 60.0
 _POLL_S = 0.25
+_OUTAGE_KEYS = ("core_percent_mean", "core_percent_max", "kb_per_s_max")
 _CALL_S = 2.0
 _CONTROL = "from sassafrashold.control.main import main; main()"
 _CLOCK = clock_lib.SystemClock()
@@ -77,8 +78,8 @@
         await asyncio.sleep(_POLL_S)
 
 
-async def _members_of_lease(store: platform.MemoryStore) -> int:
-    stored = await store.get("leases/luzon-a")
+def _members_of_lease(store: platform.MemoryStore) -> int:
+    stored = store.current("leases/luzon-a")
     if stored is None:
         return 0
     return stored.value.count(b'"incarnation"')
@@ -111,7 +112,13 @@
                 pollers.append(asyncio.create_task(_poll_as_owner(member)))
             await _until_joined(store, members)
             await asyncio.sleep(_SETTLE_S)
-            return await _sample(store, processes, members)
+            result = await _sample(store, processes, members)
+            if members == _MEMBERS[-1]:
+                store.down = True
+                await asyncio.sleep(_SETTLE_S)
+                outage = await _sample(store, processes, members)
+                result |= {f"outage_{key}": outage[key] for key in _OUTAGE_KEYS}
+            return result
         finally:
             for poller in pollers:
                 poller.cancel()
@@ -124,9 +131,9 @@
 
 async def _until_joined(store: platform.MemoryStore, members: int) -> None:
     started = time.monotonic()
-    while await _members_of_lease(store) < members:
+    while _members_of_lease(store) < members:
         if time.monotonic() - started > _JOIN_TIMEOUT_S:
-            print(f"only {await _members_of_lease(store)} of {members} joined")
+            print(f"only {_members_of_lease(store)} of {members} joined")
             return
         await asyncio.sleep(0.2)
 
@@ -154,7 +161,7 @@
     memory = [process.memory_full_info() for process in known]
     return {
         "members": members,
-        "joined": await _members_of_lease(store),
+        "joined": _members_of_lease(store),
         "core_percent_mean": float(np.mean(cores)),
         "core_percent_max": max(cores),
         "kb_per_s_mean": float(np.mean(rates)),
@@ -222,6 +229,8 @@
             "rms_error": error,
         }
         print(f"{key}: {base:.3f} + {slope:.5f} * members, rms {error:.3f}")
+    outage = {key: results[-1][f"outage_{key}"] for key in _OUTAGE_KEYS}
+    print(f"store down, {_MEMBERS[-1]} members: {outage}")
     common.save("control_slopes", {"results": results, "fits": fits})
 
 
