Put each field description of the control node under its field

Cause: the closing read found the description of up_to_date_source under complete_peer. Change: text only. Result: format, lint and types pass; 43 lease tests pass.

--- a/src/sassafrashold/control/_node.py
+++ b/src/sassafrashold/control/_node.py
@@ -56,9 +56,9 @@
         self.owner = _owner_watch.OwnerWatch()
         """The local owner process."""
         self.up_to_date_source: str | None = None
-        # Peer that had all objects when this host last asked it.
-        self.complete_peer: str | None = None
         """Where the first full set of objects came from."""
+        self.complete_peer: str | None = None
+        """Peer that had all objects when this host last asked it."""
         self._ranked: tuple[str, ...] = ()
         self._ranking_of_fresh: list[str] = []
         self.lease_key = lease.lease_key(values.zone)
