Move the object store interface to its own package

Cause: the folder platform/ becomes the adapter of the users' platform; the interface of our own object store and its memory twin have another job. No behaviour changes.

--- a/benchmarks/common.py
+++ b/benchmarks/common.py
@@ -27,9 +27,9 @@
 from sassafrashold import clock
 from sassafrashold import load
 from sassafrashold import table
-from sassafrashold.platform import http as platform_http
 from sassafrashold.standins import deployment as deployment_lib
 from sassafrashold.standins import harness
+from sassafrashold.store import http as platform_http
 
 RESULTS = pathlib.Path(__file__).parent / "results"
 
--- a/benchmarks/control_slopes.py
+++ b/benchmarks/control_slopes.py
@@ -20,9 +20,9 @@
 
 from sassafrashold import clock as clock_lib
 from sassafrashold import documents
-from sassafrashold import platform
 from sassafrashold import rpc
 from sassafrashold import settings
+from sassafrashold import store as store_lib
 from sassafrashold import table
 from sassafrashold import wire
 
@@ -78,7 +78,7 @@
         await asyncio.sleep(_POLL_S)
 
 
-def _members_of_lease(store: platform.MemoryStore) -> int:
+def _members_of_lease(store: store_lib.MemoryStore) -> int:
     stored = store.current("leases/luzon-a")
     if stored is None:
         return 0
@@ -86,7 +86,7 @@
 
 
 async def _measure(members: int) -> dict[str, Any]:
-    store = platform.MemoryStore()
+    store = store_lib.MemoryStore()
     await store.put(table.TABLE_KEY, table.Table(revision=1).encode(), 0)
     hosts = [
         {"host": f"h{member}", "zone": "luzon-a", "state": "live"}
@@ -96,7 +96,7 @@
     store.set_host_list(
         as_of, documents.dump({"as_of_unix_ms": as_of, "hosts": hosts})
     )
-    server = rpc.Server(platform.gateway_handlers(store, store), _CLOCK)
+    server = rpc.Server(store_lib.gateway_handlers(store, store), _CLOCK)
     gateway = await server.start(settings.Address("127.77.0.1", 0))
     processes: list[asyncio.subprocess.Process] = []
     pollers: list[asyncio.Task[None]] = []
@@ -129,7 +129,7 @@
             await server.close()
 
 
-async def _until_joined(store: platform.MemoryStore, members: int) -> None:
+async def _until_joined(store: store_lib.MemoryStore, members: int) -> None:
     started = time.monotonic()
     while _members_of_lease(store) < members:
         if time.monotonic() - started > _JOIN_TIMEOUT_S:
@@ -139,7 +139,7 @@
 
 
 async def _sample(
-    store: platform.MemoryStore,
+    store: store_lib.MemoryStore,
     processes: list[asyncio.subprocess.Process],
     members: int,
 ) -> dict[str, Any]:
--- a/src/sassafrashold/control/_daemon.py
+++ b/src/sassafrashold/control/_daemon.py
@@ -12,9 +12,9 @@
 
 from sassafrashold import clock as clock_lib
 from sassafrashold import errors
-from sassafrashold import platform
 from sassafrashold import rpc
 from sassafrashold import settings
+from sassafrashold import store as store_lib
 from sassafrashold import telemetry
 from sassafrashold.control import _handlers
 from sassafrashold.control import _lease_writer
@@ -76,7 +76,7 @@
         self._metrics = metrics
         self._random = chance or random.Random()
         self._entry = rpc.Client(values.entry, clock)
-        self._store = store or platform.GatewayStore(self._entry, clock)
+        self._store = store or store_lib.GatewayStore(self._entry, clock)
         self._handlers: dict[str, rpc.Handler] = {}
         self._server = rpc.Server(
             dict.fromkeys(_handlers.Handlers.METHODS, self._dispatch),
--- a/src/sassafrashold/control/_readers.py
+++ b/src/sassafrashold/control/_readers.py
@@ -4,7 +4,7 @@
 
 from sassafrashold import errors
 from sassafrashold import lease
-from sassafrashold import platform
+from sassafrashold import store as store_lib
 from sassafrashold import table
 from sassafrashold import views
 from sassafrashold.control import _node
@@ -88,7 +88,7 @@
         version, value = await self._store.host_list()
         self._reached()
         self._node.record_hosts(value, read)
-        self._put(platform.Stored(views.HOSTS_KEY, version, value))
+        self._put(store_lib.Stored(views.HOSTS_KEY, version, value))
 
     async def _read_newer(self, prefix: str, skip: tuple[str, ...]) -> None:
         versions = await self._store.list(prefix)
@@ -121,9 +121,9 @@
                 ) from error
             version = stored.version
         self._reached()
-        self._put(platform.Stored(key, version, stored.value))
+        self._put(store_lib.Stored(key, version, stored.value))
 
-    async def _newest_table(self) -> platform.Stored | None:
+    async def _newest_table(self) -> store_lib.Stored | None:
         """Returns the newer one of what the store and the peers show."""
         key = table.TABLE_KEY
         found = await self._store.get(key)
@@ -131,7 +131,7 @@
         known = self._node.objects.get(key)
         if known is None or (found and found.version >= known.version):
             return found
-        return platform.Stored(key, known.version, known.value)
+        return store_lib.Stored(key, known.version, known.value)
 
     async def _read(self, key: str) -> None:
         found = await self._store.get(key)
@@ -142,7 +142,7 @@
     def _reached(self) -> None:
         self._node.lease.store_reached(self._node.now())
 
-    def _put(self, found: platform.Stored) -> None:
+    def _put(self, found: store_lib.Stored) -> None:
         self._node.put(
             _objects.StoredObject(
                 found.key,
--- a/src/sassafrashold/control/tests/test_three_controls_share_a_zone.py
+++ b/src/sassafrashold/control/tests/test_three_controls_share_a_zone.py
@@ -3,8 +3,8 @@
 import json
 
 from sassafrashold import lease
-from sassafrashold import platform
 from sassafrashold import settings
+from sassafrashold import store as store_lib
 from sassafrashold import table
 from sassafrashold import wire
 from sassafrashold.control.tests import fakes
@@ -15,7 +15,7 @@
 
 @contextlib.asynccontextmanager
 async def _zone(names="abc", store=None):
-    store = store or platform.MemoryStore()
+    store = store or store_lib.MemoryStore()
     fakes.list_hosts(store, names)
     hosts = {}
     seeds: list[settings.Address] = []
@@ -101,9 +101,9 @@
 async def test_a_lost_answer_to_a_proposal_is_read_back():
     async with _zone() as (store, hosts):
         store.choose_fault = lambda method, key: (
-            platform.Fault.LOST_ANSWER
+            store_lib.Fault.LOST_ANSWER
             if method == "put"
-            else platform.Fault.NONE
+            else store_lib.Fault.NONE
         )
         await hosts["c"].stop()
         await fakes.eventually(lambda: _is_epoch_of(hosts, "ab"))
@@ -124,12 +124,12 @@
                 value = table.Table(revision=revision).encode()
                 await store.put(table.TABLE_KEY, value, revision - 1)
                 store.choose_fault = lambda method, key: (
-                    platform.Fault.STALE
+                    store_lib.Fault.STALE
                     if method in {"get", "watch"}
-                    else platform.Fault.NONE
+                    else store_lib.Fault.NONE
                 )
                 await asyncio.sleep(0.1)
-            store.choose_fault = lambda method, key: platform.Fault.NONE
+            store.choose_fault = lambda method, key: store_lib.Fault.NONE
             await fakes.eventually(
                 lambda: all(versions[-1:] == [5] for versions in seen.values())
             )
@@ -157,7 +157,7 @@
 
 
 async def test_without_peers_and_store_a_host_says_that_it_is_starting():
-    store = platform.MemoryStore()
+    store = store_lib.MemoryStore()
     store.down = True
     host = await fakes.Host("a", _ZONE, store).start()
     try:
@@ -172,7 +172,7 @@
 
 
 async def test_the_first_item_of_a_subscription_is_the_hello():
-    store = platform.MemoryStore()
+    store = store_lib.MemoryStore()
     host = await fakes.Host("a", _ZONE, store).start()
     try:
         async for item in host.subscribe():
--- a/src/sassafrashold/ctl/_edits.py
+++ b/src/sassafrashold/ctl/_edits.py
@@ -15,7 +15,7 @@
 from sassafrashold.ctl import _options
 from sassafrashold.ctl import _output
 from sassafrashold.ctl import _run
-from sassafrashold.platform import http
+from sassafrashold.store import http
 
 # Bound within which an accepted edit is in force on every host (P10).
 _CONFIRMATION_TIME = datetime.timedelta(seconds=4)
--- a/src/sassafrashold/ctl/_facts.py
+++ b/src/sassafrashold/ctl/_facts.py
@@ -10,7 +10,7 @@
 from sassafrashold import table as table_lib
 from sassafrashold import views
 from sassafrashold.ctl import _entries
-from sassafrashold.platform import http
+from sassafrashold.store import http
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/sassafrashold/ctl/_run.py
+++ b/src/sassafrashold/ctl/_run.py
@@ -12,7 +12,7 @@
 from sassafrashold import clock as clock_lib
 from sassafrashold import errors
 from sassafrashold.ctl import _options
-from sassafrashold.platform import http
+from sassafrashold.store import http
 
 EXIT_REFUSED = 1
 EXIT_CONFLICT = 3
--- a/src/sassafrashold/ctl/tests/test_operators_commands.py
+++ b/src/sassafrashold/ctl/tests/test_operators_commands.py
@@ -10,12 +10,12 @@
 from sassafrashold import clock as clock_lib
 from sassafrashold import index
 from sassafrashold import lease
-from sassafrashold import platform
 from sassafrashold import settings
+from sassafrashold import store as store_lib
 from sassafrashold import table
 from sassafrashold.ctl import _edits
 from sassafrashold.ctl import main
-from sassafrashold.platform.tests import fake_http
+from sassafrashold.store.tests import fake_http
 
 _HEADER = ",".join(table.COLUMNS)
 _ROW = "almanac,both,luzon-a=1;visayas-a=2,3,30,1,20,1000,5,normal,10,0,50,yes"
@@ -26,7 +26,7 @@
     """A platform and entry hosts with canned facts."""
 
     def __init__(self, platform_address):
-        self.store = platform.MemoryStore()
+        self.store = store_lib.MemoryStore()
         self.address = platform_address
         self.entries = {}
 
@@ -185,13 +185,13 @@
 
 async def test_an_outage_and_a_lost_answer_are_told_apart(monkeypatch):
     monkeypatch.setattr(
-        platform.Backoff, "delay", lambda *_: datetime.timedelta()
+        store_lib.Backoff, "delay", lambda *_: datetime.timedelta()
     )
     async with _deployment() as deployment:
         deployment.store.choose_fault = lambda method, key: (
-            platform.Fault.LOST_REQUEST
+            store_lib.Fault.LOST_REQUEST
             if method == "put"
-            else platform.Fault.NONE
+            else store_lib.Fault.NONE
         )
         lost = await deployment.ctl("host", "out", "h")
         deployment.store.down = True
--- a/src/sassafrashold/dispatch/_cleanup.py
+++ b/src/sassafrashold/dispatch/_cleanup.py
@@ -5,7 +5,7 @@
 
 from sassafrashold import clock as clock_lib
 from sassafrashold import errors
-from sassafrashold import platform
+from sassafrashold import store as store_lib
 from sassafrashold.dispatch import _claim
 
 CLAIM_LIFETIME = datetime.timedelta(hours=24)
@@ -26,7 +26,7 @@
 
 
 async def delete_expired(
-    store: platform.ObjectStore,
+    store: store_lib.ObjectStore,
     clock: clock_lib.Clock,
     *,
     start_key: str = "",
@@ -57,7 +57,7 @@
 
 
 async def _delete_if_expired(
-    store: platform.ObjectStore, clock: clock_lib.Clock, key: str
+    store: store_lib.ObjectStore, clock: clock_lib.Clock, key: str
 ) -> bool:
     stored = await store.get(key)
     if stored is None:
--- a/src/sassafrashold/dispatch/_dispatcher.py
+++ b/src/sassafrashold/dispatch/_dispatcher.py
@@ -10,13 +10,13 @@
 
 from sassafrashold import clock as clock_lib
 from sassafrashold import errors
-from sassafrashold import platform
+from sassafrashold import store as store_lib
 from sassafrashold.dispatch import _claim
 from sassafrashold.dispatch import _recorder
 
 _LOGGER = logging.getLogger(__name__)
 _CLAIM_ATTEMPTS = 5
-_RESOLUTION = platform.Backoff(attempts=5)
+_RESOLUTION = store_lib.Backoff(attempts=5)
 # A caller's answer waits this long for the record, so that a retry right after
 # the answer finds it; a slow store does not delay the answer further.
 _RECORD_WAIT = datetime.timedelta(milliseconds=250)
@@ -38,13 +38,13 @@
 
     def __init__(
         self,
-        store: platform.ObjectStore,
+        store: store_lib.ObjectStore,
         host: str,
         clock: clock_lib.Clock,
         *,
         new_id: Callable[[], str] = lambda: uuid.uuid4().hex,
-        resolution: platform.Backoff = _RESOLUTION,
-        recording: platform.Backoff = _recorder.BACKOFF,
+        resolution: store_lib.Backoff = _RESOLUTION,
+        recording: store_lib.Backoff = _recorder.BACKOFF,
         record_wait: datetime.timedelta = _RECORD_WAIT,
     ) -> None:
         """Initializes the dispatcher.
@@ -201,11 +201,11 @@
 
     def __init__(
         self,
-        store: platform.ObjectStore,
+        store: store_lib.ObjectStore,
         key: str,
         claim: _claim.Claim,
         clock: clock_lib.Clock,
-        resolution: platform.Backoff,
+        resolution: store_lib.Backoff,
         before_claim: errors.Ran,
     ) -> None:
         self.claim = claim
@@ -261,7 +261,7 @@
     async def _put(self, deadline: datetime.datetime) -> None:
         self.may_be_stored = True
         try:
-            stored = await platform.put_resolved(
+            stored = await store_lib.put_resolved(
                 self._store,
                 self._key,
                 self.claim.encode(),
@@ -303,7 +303,7 @@
         self._is_contested = False
         return result
 
-    async def _read(self, at_least: int) -> platform.Stored:
+    async def _read(self, at_least: int) -> store_lib.Stored:
         """Reads until the answer is not older than a known version."""
         for attempt in range(1, self._resolution.attempts + 1):
             stored = await self._store.get(self._key)
--- a/src/sassafrashold/dispatch/_recorder.py
+++ b/src/sassafrashold/dispatch/_recorder.py
@@ -6,11 +6,11 @@
 import logging
 
 from sassafrashold import errors
-from sassafrashold import platform
+from sassafrashold import store as store_lib
 from sassafrashold.dispatch import _claim
 
 _LOGGER = logging.getLogger(__name__)
-BACKOFF = platform.Backoff(
+BACKOFF = store_lib.Backoff(
     base=datetime.timedelta(milliseconds=50), cap=datetime.timedelta(seconds=5)
 )
 # Each record holds a result in memory while the store is down.
@@ -36,8 +36,8 @@
 
     def __init__(
         self,
-        store: platform.ObjectStore,
-        backoff: platform.Backoff = BACKOFF,
+        store: store_lib.ObjectStore,
+        backoff: store_lib.Backoff = BACKOFF,
     ) -> None:
         self._store = store
         self._backoff = backoff
--- a/src/sassafrashold/dispatch/tests/test_a_dispatch_runs_at_most_once.py
+++ b/src/sassafrashold/dispatch/tests/test_a_dispatch_runs_at_most_once.py
@@ -11,20 +11,20 @@
 from sassafrashold import clock as clock_lib
 from sassafrashold import dispatch
 from sassafrashold import errors
-from sassafrashold import platform
+from sassafrashold import store as store_lib
 from sassafrashold.dispatch import _recorder
-from sassafrashold.platform.tests import stepped_store
+from sassafrashold.store.tests import stepped_store
 
 _CLOCK = clock_lib.ManualClock()
 _ZERO = datetime.timedelta()
-_NO_DELAY = platform.Backoff(attempts=3, base=_ZERO)
+_NO_DELAY = store_lib.Backoff(attempts=3, base=_ZERO)
 _DEADLINE = _CLOCK.now() + datetime.timedelta(minutes=1)
 _KEY = dispatch.claim_key("s", "k")
 # A run has few kinds of faults, often the same one, so that long sequences of
 # them are met.
 _PROFILES = strategies.lists(
-    strategies.sampled_from(platform.Fault), min_size=1, max_size=4
-).map(lambda faults: [*faults, platform.Fault.NONE])
+    strategies.sampled_from(store_lib.Fault), min_size=1, max_size=4
+).map(lambda faults: [*faults, store_lib.Fault.NONE])
 
 
 class _Attempt:
@@ -62,7 +62,7 @@
     def __init__(self):
         super().__init__()
         self.loop = stepped_store.Loop()
-        self.shared = platform.MemoryStore()
+        self.shared = store_lib.MemoryStore()
         self.hosts = []
         self.attempts = []
         self.dead = set()
@@ -166,7 +166,7 @@
         self._start_host(number)
         self.hosts.insert(number, self.hosts.pop())
         if is_applied and store.waiting:
-            store.release(0, platform.Fault.LOST_ANSWER)
+            store.release(0, store_lib.Fault.LOST_ANSWER)
             self.loop.settle()
 
     @stateful.invariant()
@@ -221,7 +221,7 @@
                 return True
         for store, _ in self.hosts:
             if store.waiting:
-                store.release(0, platform.Fault.NONE)
+                store.release(0, store_lib.Fault.NONE)
                 return True
         return False
 
@@ -310,7 +310,7 @@
 async def test_a_retry_on_another_host_gets_what_is_known(
     ran, body, first, second, sends, writes
 ):
-    store = platform.MemoryStore()
+    store = store_lib.MemoryStore()
     log: list[str] = []
     assert await _run(store, _sending(log, ran=ran)) == first
     assert await _run(store, _sending(log, ran=ran), body) == second
@@ -320,8 +320,8 @@
 
 @pytest.mark.parametrize("ran", [None, *errors.Ran])
 async def test_no_short_sequence_of_faults_runs_a_dispatch_twice(ran):
-    for faults in itertools.product(platform.Fault, repeat=3):
-        store = platform.MemoryStore()
+    for faults in itertools.product(store_lib.Fault, repeat=3):
+        store = store_lib.MemoryStore()
         store.faults.extend(faults)
         log: list[str] = []
         attempts = []
@@ -350,7 +350,7 @@
 
 
 async def test_a_late_release_leaves_the_claim_of_another_host_alone():
-    store = platform.MemoryStore()
+    store = store_lib.MemoryStore()
     released = dispatch.Claim(
         "ours", "h1", "hash", _CLOCK.now(), dispatch.ClaimState.RELEASED
     )
@@ -359,17 +359,17 @@
     )
     await store.put(_KEY, released.encode(), 0)
     await store.put(_KEY, theirs.encode(), 1)
-    store.faults.extend([platform.Fault.NONE, platform.Fault.STALE])
+    store.faults.extend([store_lib.Fault.NONE, store_lib.Fault.STALE])
     await _recorder.Recorder(store, _NO_DELAY).start(
         _recorder.Record(_KEY, released, 1)
     )
     stored = store.current(_KEY)
-    assert stored == platform.Stored(_KEY, 2, theirs.encode())
+    assert stored == store_lib.Stored(_KEY, 2, theirs.encode())
 
 
 @pytest.mark.parametrize("is_first", [True, False])
 async def test_a_refusal_before_the_claim_speaks_about_all_attempts(is_first):
-    store = platform.MemoryStore()
+    store = store_lib.MemoryStore()
     log: list[str] = []
     cases = [
         ("STORE_UNAVAILABLE", True, _DEADLINE),
@@ -392,12 +392,12 @@
 
 
 async def test_the_result_reaches_the_caller_and_later_the_record():
-    store = platform.MemoryStore()
+    store = store_lib.MemoryStore()
     log: list[str] = []
     dispatcher = _dispatcher(store)
 
     async def send(claim_id):
-        store.faults.extend([platform.Fault.DOWN, platform.Fault.LOST_ANSWER])
+        store.faults.extend([store_lib.Fault.DOWN, store_lib.Fault.LOST_ANSWER])
         return await _sending(log)(claim_id)
 
     outcome = await dispatcher.run("s", "k", b"b", _DEADLINE, send)
@@ -408,7 +408,7 @@
 
 
 async def test_a_result_too_large_to_keep_never_becomes_not_run():
-    store = platform.MemoryStore()
+    store = store_lib.MemoryStore()
     log: list[str] = []
     large = b"x" * (dispatch.MAX_RESULT_BYTES + 1)
     assert await _run(store, _sending(log, large)) == dispatch.Outcome(
@@ -431,7 +431,7 @@
     ],
 )
 async def test_odd_keys_are_refused_or_kept_apart(key, expected):
-    store = platform.MemoryStore()
+    store = store_lib.MemoryStore()
     assert await _run(store, _sending([]), key=key) == expected
     stored = list(await store.list("claims/s/"))
     assert len(stored) == isinstance(expected, dispatch.Outcome)
@@ -439,7 +439,7 @@
 
 
 async def test_only_claims_older_than_a_day_are_deleted():
-    store, clock = platform.MemoryStore(), clock_lib.ManualClock()
+    store, clock = store_lib.MemoryStore(), clock_lib.ManualClock()
     for number in range(4):
         dispatcher = dispatch.Dispatcher(store, "h", clock)
         deadline = clock.now() + datetime.timedelta(minutes=1)
--- a/src/sassafrashold/entry/main.py
+++ b/src/sassafrashold/entry/main.py
@@ -4,11 +4,11 @@
 
 from sassafrashold import clock as clock_lib
 from sassafrashold import dispatch
-from sassafrashold import platform
 from sassafrashold import process
+from sassafrashold import store as store_lib
 from sassafrashold.entry import _daemon
 from sassafrashold.entry import _settings
-from sassafrashold.platform import http
+from sassafrashold.store import http
 
 
 async def _run(
@@ -26,7 +26,7 @@
     parts = _daemon.PlatformParts(
         dispatch.Dispatcher(client, values.host, clock),
         delete_claims,
-        platform.gateway_handlers(client, client),
+        store_lib.gateway_handlers(client, client),
         client.close,
     )
     await _daemon.Daemon(values, clock, parts).run(stopping)
--- a/src/sassafrashold/entry/tests/entry_fakes.py
+++ b/src/sassafrashold/entry/tests/entry_fakes.py
@@ -14,9 +14,9 @@
 from sassafrashold import errors
 from sassafrashold import index
 from sassafrashold import lease
-from sassafrashold import platform
 from sassafrashold import rpc
 from sassafrashold import settings
+from sassafrashold import store as store_lib
 from sassafrashold import table as table_lib
 from sassafrashold import wire
 from sassafrashold.entry import _daemon
@@ -202,7 +202,7 @@
     """Runs a daemon whose view is known."""
     owner_by_zone = {zone: FakeOwner() for zone in ZONES}
     parts = _daemon.PlatformParts(
-        dispatch.Dispatcher(platform.MemoryStore(), "entry-1", CLOCK),
+        dispatch.Dispatcher(store_lib.MemoryStore(), "entry-1", CLOCK),
         _nothing,
         {},
         _nothing,
--- a/src/sassafrashold/platform/_gateway.py
+++ b/src/sassafrashold/store/_gateway.py
@@ -7,7 +7,7 @@
 from sassafrashold import errors
 from sassafrashold import rpc
 from sassafrashold import wire
-from sassafrashold.platform import _interface
+from sassafrashold.store import _interface
 
 _READ_TIMEOUT = datetime.timedelta(seconds=4)
 _WRITE_TIMEOUT = datetime.timedelta(seconds=3)
--- a/src/sassafrashold/platform/_memory.py
+++ b/src/sassafrashold/store/_memory.py
@@ -7,7 +7,7 @@
 import enum
 
 from sassafrashold import errors
-from sassafrashold.platform import _interface
+from sassafrashold.store import _interface
 
 
 class Fault(enum.Enum):
--- a/src/sassafrashold/platform/_resolve.py
+++ b/src/sassafrashold/store/_resolve.py
@@ -6,8 +6,8 @@
 
 from sassafrashold import clock as clock_lib
 from sassafrashold import errors
-from sassafrashold.platform import _backoff
-from sassafrashold.platform import _interface
+from sassafrashold.store import _backoff
+from sassafrashold.store import _interface
 
 _DEFAULT_BACKOFF = _backoff.Backoff(attempts=6)
 
--- a/src/sassafrashold/platform/http.py
+++ b/src/sassafrashold/store/http.py
@@ -16,8 +16,8 @@
 from sassafrashold import clock as clock_lib
 from sassafrashold import errors
 from sassafrashold import settings
-from sassafrashold.platform import _backoff
-from sassafrashold.platform import _interface
+from sassafrashold.store import _backoff
+from sassafrashold.store import _interface
 
 _CONNECT_TIMEOUT = datetime.timedelta(milliseconds=500)
 # Bounds all attempts together, so that a store that takes seconds to answer is
--- a/src/sassafrashold/platform/tests/stepped_store.py
+++ b/src/sassafrashold/store/tests/stepped_store.py
@@ -5,17 +5,17 @@
 from collections.abc import Coroutine
 from typing import Any
 
-from sassafrashold import platform
+from sassafrashold import store as store_lib
 
 
-class SteppedStore(platform.MemoryStore):
+class SteppedStore(store_lib.MemoryStore):
     """A `MemoryStore` whose calls wait until they are released.
 
     Attributes:
         open: Lets every call through at once.
     """
 
-    def __init__(self, shared: platform.MemoryStore | None = None) -> None:
+    def __init__(self, shared: store_lib.MemoryStore | None = None) -> None:
         """Initializes the store.
 
         Args:
@@ -27,7 +27,7 @@
             self.__dict__.update(shared.__dict__)
             self.faults = collections.deque()
         self.open = False
-        self._waiting: list[asyncio.Future[platform.Fault]] = []
+        self._waiting: list[asyncio.Future[store_lib.Fault]] = []
 
     @property
     def waiting(self) -> int:
@@ -35,11 +35,11 @@
         self._waiting = [call for call in self._waiting if not call.done()]
         return len(self._waiting)
 
-    def release(self, position: int, fault: platform.Fault) -> None:
+    def release(self, position: int, fault: store_lib.Fault) -> None:
         """Lets one of the waiting calls run, with a fault."""
         self._waiting.pop(position).set_result(fault)
 
-    async def get(self, key: str) -> platform.Stored | None:
+    async def get(self, key: str) -> store_lib.Stored | None:
         """Waits, then reads."""
         await self._wait()
         return await super().get(key)
@@ -51,9 +51,9 @@
 
     async def _wait(self) -> None:
         if self.open:
-            self.faults.append(platform.Fault.NONE)
+            self.faults.append(store_lib.Fault.NONE)
             return
-        call: asyncio.Future[platform.Fault] = asyncio.Future()
+        call: asyncio.Future[store_lib.Fault] = asyncio.Future()
         self._waiting.append(call)
         self.faults.append(await call)
 
--- a/src/sassafrashold/platform/tests/test_lost_answers_are_resolved.py
+++ b/src/sassafrashold/store/tests/test_lost_answers_are_resolved.py
@@ -6,15 +6,15 @@
 
 from sassafrashold import clock as clock_lib
 from sassafrashold import errors
-from sassafrashold import platform
+from sassafrashold import store as store_lib
 
 _CLOCK = clock_lib.ManualClock()
-_NO_DELAY = platform.Backoff(attempts=4, base=0 * platform.Backoff().base)
-_FAULTS = strategies.lists(strategies.sampled_from(platform.Fault), max_size=8)
+_NO_DELAY = store_lib.Backoff(attempts=4, base=0 * store_lib.Backoff().base)
+_FAULTS = strategies.lists(strategies.sampled_from(store_lib.Fault), max_size=8)
 
 
 def _put(store, value, expected_version):
-    return platform.put_resolved(
+    return store_lib.put_resolved(
         store,
         "k",
         value,
@@ -33,7 +33,7 @@
     )
 
 
-class _RacedStore(platform.MemoryStore):
+class _RacedStore(store_lib.MemoryStore):
     """A store in which a rival changes the object before the n-th call."""
 
     def __init__(self, faults, rival_at):
@@ -69,7 +69,7 @@
         await store.deliver_delayed()
         after = _versions_with(store, b"ours")
         assert after <= 1
-        if isinstance(outcome, platform.Stored):
+        if isinstance(outcome, store_lib.Stored):
             assert (before, after) == (1, 1)
             assert b"ours" in outcome.value
         elif outcome.ran is errors.Ran.NOT_RUN:
@@ -81,26 +81,26 @@
 @pytest.mark.parametrize(
     ("faults", "writes"),
     [
-        ([platform.Fault.LOST_ANSWER], 1),
-        ([platform.Fault.LOST_REQUEST], 2),
-        ([platform.Fault.DELAYED], 2),
-        ([platform.Fault.LOST_ANSWER, platform.Fault.STALE], 2),
-        ([platform.Fault.LOST_ANSWER, platform.Fault.DOWN], 1),
+        ([store_lib.Fault.LOST_ANSWER], 1),
+        ([store_lib.Fault.LOST_REQUEST], 2),
+        ([store_lib.Fault.DELAYED], 2),
+        ([store_lib.Fault.LOST_ANSWER, store_lib.Fault.STALE], 2),
+        ([store_lib.Fault.LOST_ANSWER, store_lib.Fault.DOWN], 1),
     ],
 )
 async def test_a_lost_answer_costs_the_caller_nothing(faults, writes):
-    store = platform.MemoryStore()
+    store = store_lib.MemoryStore()
     store.faults.extend(faults)
-    assert await _put(store, b"ours", 0) == platform.Stored("k", 1, b"ours")
+    assert await _put(store, b"ours", 0) == store_lib.Stored("k", 1, b"ours")
     await store.deliver_delayed()
     assert _versions_with(store, b"ours") == 1
     assert store.calls["put"] == writes
 
 
 async def test_an_outage_after_a_lost_answer_stays_ambiguous():
-    store = platform.MemoryStore()
-    store.faults.append(platform.Fault.LOST_REQUEST)
-    store.choose_fault = lambda method, key: platform.Fault.DOWN
+    store = store_lib.MemoryStore()
+    store.faults.append(store_lib.Fault.LOST_REQUEST)
+    store.choose_fault = lambda method, key: store_lib.Fault.DOWN
     with pytest.raises(errors.StoreError) as caught:
         await _put(store, b"ours", 0)
     assert caught.value.ran is errors.Ran.OUTCOME_UNKNOWN
--- a/src/sassafrashold/platform/tests/test_write_outcomes_are_truthful.py
+++ b/src/sassafrashold/store/tests/test_write_outcomes_are_truthful.py
@@ -7,11 +7,11 @@
 
 from sassafrashold import clock as clock_lib
 from sassafrashold import errors
-from sassafrashold import platform
 from sassafrashold import rpc
 from sassafrashold import settings
-from sassafrashold.platform import http
-from sassafrashold.platform.tests import fake_http
+from sassafrashold import store as store_lib
+from sassafrashold.store import http
+from sassafrashold.store.tests import fake_http
 
 _CLOCK = clock_lib.SystemClock()
 _NOT_RUN = errors.Ran.NOT_RUN
@@ -23,13 +23,13 @@
 
 @contextlib.asynccontextmanager
 async def _gateway(store):
-    handlers = platform.gateway_handlers(store, store)
+    handlers = store_lib.gateway_handlers(store, store)
     server = rpc.Server(handlers, _CLOCK)
     client = rpc.Client(
         await server.start(settings.Address("127.0.0.1", 0)), _CLOCK
     )
     try:
-        yield platform.GatewayStore(client, _CLOCK), server
+        yield store_lib.GatewayStore(client, _CLOCK), server
     finally:
         await client.close()
         await server.close()
@@ -112,7 +112,7 @@
 async def test_reads_are_retried_a_bounded_number_of_times():
     ok = b'200 OK\r\nETag: "4"'
     async with _answering(None, b"503 Busy", ok) as (client, requests):
-        assert await client.get("k") == platform.Stored("k", 4, b"")
+        assert await client.get("k") == store_lib.Stored("k", 4, b"")
         assert requests == ["GET"] * 3
     async with _answering(b"503 Busy") as (client, requests):
         with pytest.raises(errors.StoreError) as caught:
@@ -157,16 +157,16 @@
 @pytest.mark.parametrize(
     ("fault", "expected_version", "code", "ran"),
     [
-        (platform.Fault.DOWN, 1, _UNAVAILABLE, _NOT_RUN),
-        (platform.Fault.LOST_ANSWER, 1, _AMBIGUOUS, _UNKNOWN),
-        (platform.Fault.LOST_REQUEST, 1, _AMBIGUOUS, _UNKNOWN),
-        (platform.Fault.NONE, 7, _CONFLICT, _NOT_RUN),
+        (store_lib.Fault.DOWN, 1, _UNAVAILABLE, _NOT_RUN),
+        (store_lib.Fault.LOST_ANSWER, 1, _AMBIGUOUS, _UNKNOWN),
+        (store_lib.Fault.LOST_REQUEST, 1, _AMBIGUOUS, _UNKNOWN),
+        (store_lib.Fault.NONE, 7, _CONFLICT, _NOT_RUN),
     ],
 )
 async def test_both_hops_of_the_gateway_keep_what_is_known_of_a_write(
     fault, expected_version, code, ran
 ):
-    store = platform.MemoryStore()
+    store = store_lib.MemoryStore()
     await store.put("k", b"a", 0)
     async with _gateway(store) as (client, _):
         for write in (
@@ -188,7 +188,7 @@
 
 
 async def test_a_write_is_ambiguous_when_the_gateway_dies_or_fails():
-    class Broken(platform.MemoryStore):
+    class Broken(store_lib.MemoryStore):
         async def put(self, key, value, expected_version):
             if key == "bug":
                 raise RuntimeError("after the write")
@@ -211,11 +211,11 @@
     watch = asyncio.create_task(store.watch(key, 0, wait))
     assert await store.get(key) is None
     assert await store.put(key, b"1", 0) == 1
-    assert await store.watch(key, 0, wait) == platform.Stored(key, 1, b"1")
+    assert await store.watch(key, 0, wait) == store_lib.Stored(key, 1, b"1")
     later = asyncio.create_task(store.watch(key, 1, wait))
     await asyncio.sleep(0)
     assert await store.put(key, b"2", 1) == 2
-    assert await later == platform.Stored(key, 2, b"2")
+    assert await later == store_lib.Stored(key, 2, b"2")
     with pytest.raises(errors.StoreConflictError) as conflict:
         await store.put(key, b"3", 1)
     assert conflict.value.found == 2
@@ -231,15 +231,15 @@
 
 
 async def test_all_stores_follow_one_protocol():
-    await _scenario(platform.MemoryStore())
-    async with _gateway(platform.MemoryStore()) as (client, _):
+    await _scenario(store_lib.MemoryStore())
+    async with _gateway(store_lib.MemoryStore()) as (client, _):
         await _scenario(client)
-    async with _http(platform.MemoryStore()) as client:
+    async with _http(store_lib.MemoryStore()) as client:
         await _scenario(client)
 
 
 async def test_a_watch_that_brings_nothing_does_not_spin():
-    async with _http(platform.MemoryStore()) as client:
+    async with _http(store_lib.MemoryStore()) as client:
         started = _CLOCK.monotonic()
         wait = datetime.timedelta(milliseconds=200)
         assert await client.watch("absent", 0, wait) is None
--- a/src/sassafrashold/table/_editor.py
+++ b/src/sassafrashold/table/_editor.py
@@ -7,13 +7,13 @@
 
 from sassafrashold import clock as clock_lib
 from sassafrashold import errors
-from sassafrashold import platform
+from sassafrashold import store as store_lib
 from sassafrashold.table import _changes
 from sassafrashold.table import _history
 from sassafrashold.table import _table
 
-_RACES = platform.Backoff(attempts=20)
-_RESOLUTION = platform.Backoff(attempts=8)
+_RACES = store_lib.Backoff(attempts=20)
+_RESOLUTION = store_lib.Backoff(attempts=8)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -53,12 +53,12 @@
 
     def __init__(
         self,
-        store: platform.ObjectStore,
+        store: store_lib.ObjectStore,
         clock: clock_lib.Clock,
         *,
         new_id: Callable[[], str] = lambda: uuid.uuid4().hex,
-        races: platform.Backoff = _RACES,
-        resolution: platform.Backoff = _RESOLUTION,
+        races: store_lib.Backoff = _RACES,
+        resolution: store_lib.Backoff = _RESOLUTION,
     ) -> None:
         """Initializes the editor.
 
@@ -166,7 +166,7 @@
         )
         table = trimmed.with_edit(edit)
         try:
-            stored = await platform.put_resolved(
+            stored = await store_lib.put_resolved(
                 self._store,
                 _table.TABLE_KEY,
                 table.encode(),
--- a/src/sassafrashold/table/_history.py
+++ b/src/sassafrashold/table/_history.py
@@ -6,7 +6,7 @@
 from sassafrashold import clock as clock_lib
 from sassafrashold import documents
 from sassafrashold import errors
-from sassafrashold import platform
+from sassafrashold import store as store_lib
 from sassafrashold.table import _table
 
 HISTORY_PREFIX = "config/history/"
@@ -82,10 +82,10 @@
 
 
 async def without_old_edits(
-    store: platform.ObjectStore,
+    store: store_lib.ObjectStore,
     table: _table.Table,
     clock: clock_lib.Clock,
-    backoff: platform.Backoff,
+    backoff: store_lib.Backoff,
 ) -> _table.Table:
     """Copies old edits to a chunk if it is time, and drops them.
 
@@ -100,7 +100,7 @@
     if chunk is None:
         return table
     try:
-        stored = await platform.put_resolved(
+        stored = await store_lib.put_resolved(
             store,
             chunk.key,
             chunk.encode(),
@@ -126,7 +126,7 @@
 
 
 async def find_edit(
-    store: platform.ObjectStore, revision: int, edit_id: str
+    store: store_lib.ObjectStore, revision: int, edit_id: str
 ) -> bool:
     """Returns whether an edit that left the table made a revision.
 
@@ -143,7 +143,7 @@
 
 
 async def read_history(
-    store: platform.ObjectStore, table: _table.Table
+    store: store_lib.ObjectStore, table: _table.Table
 ) -> tuple[Revision, ...]:
     """Returns all edits up to a table, oldest first.
 
@@ -179,7 +179,7 @@
     return longest
 
 
-async def _archived(store: platform.ObjectStore) -> tuple[Revision, ...]:
+async def _archived(store: store_lib.ObjectStore) -> tuple[Revision, ...]:
     """Returns the edits of all chunks that can be read, oldest first."""
     edit_by_revision: dict[int, _table.Edit] = {}
     for key in await store.list(HISTORY_PREFIX):
@@ -195,7 +195,7 @@
     )
 
 
-async def _read_existing(store: platform.ObjectStore, key: str) -> Chunk:
+async def _read_existing(store: store_lib.ObjectStore, key: str) -> Chunk:
     """Reads a chunk that is known to exist; a stale read may miss it."""
     for _ in range(_READS):
         stored = await store.get(key)
--- a/src/sassafrashold/table/tests/test_racing_edits_are_never_lost.py
+++ b/src/sassafrashold/table/tests/test_racing_edits_are_never_lost.py
@@ -8,14 +8,14 @@
 
 from sassafrashold import clock as clock_lib
 from sassafrashold import errors
-from sassafrashold import platform
+from sassafrashold import store as store_lib
 from sassafrashold import table
-from sassafrashold.platform.tests import stepped_store
+from sassafrashold.store.tests import stepped_store
 from sassafrashold.table import _history
 
 _NO_DELAY = datetime.timedelta()
-_BACKOFF = platform.Backoff(attempts=3, base=_NO_DELAY)
-_RACES = platform.Backoff(attempts=6, base=_NO_DELAY)
+_BACKOFF = store_lib.Backoff(attempts=3, base=_NO_DELAY)
+_RACES = store_lib.Backoff(attempts=6, base=_NO_DELAY)
 _ROW = {"zones": "a=1", "slots_per_leaf": "4", "connections_per_leaf": "9"}
 _SERVICES = strategies.sampled_from(["s1", "s2"])
 _CHANGES = strategies.one_of(
@@ -63,7 +63,7 @@
 
     @stateful.rule(
         position=strategies.integers(0, 3),
-        fault=strategies.sampled_from([platform.Fault.NONE, *platform.Fault]),
+        fault=strategies.sampled_from([store_lib.Fault.NONE, *store_lib.Fault]),
         stale_depth=strategies.integers(1, 6),
     )
     @stateful.precondition(lambda self: self.store.waiting)
@@ -76,7 +76,7 @@
     def let_calls_through_without_faults(self, count):
         for _ in range(count):
             if self.store.waiting:
-                self.store.release(0, platform.Fault.NONE)
+                self.store.release(0, store_lib.Fault.NONE)
                 self.loop.settle()
 
     @stateful.rule()
@@ -94,7 +94,7 @@
 
     def teardown(self):
         while self.store.waiting:
-            self.store.release(0, platform.Fault.NONE)
+            self.store.release(0, store_lib.Fault.NONE)
             self.loop.settle()
         self.loop.run(self.store.deliver_delayed())
         try:
@@ -154,7 +154,7 @@
 test_racing_editors = RacingEditors.TestCase
 
 
-class _RacedStore(platform.MemoryStore):
+class _RacedStore(store_lib.MemoryStore):
     """A store in which another editor makes edits before the n-th call."""
 
     def __init__(self, rival_at):
@@ -194,7 +194,7 @@
 async def test_no_short_sequence_of_faults_loses_an_edit(rival_at, monkeypatch):
     monkeypatch.setattr(_history, "_MAX_EDITS", 4)
     monkeypatch.setattr(_history, "_CHUNK_EDITS", 2)
-    for faults in itertools.product(platform.Fault, repeat=3):
+    for faults in itertools.product(store_lib.Fault, repeat=3):
         store = _RacedStore(0)
         for number in range(4):
             await _mark(store, f"early-{number}")
@@ -300,7 +300,7 @@
 
 
 async def test_history_is_whole_after_hundreds_of_edits():
-    store = platform.MemoryStore()
+    store = store_lib.MemoryStore()
     editor = table.Editor(store, clock_lib.ManualClock())
     for number in range(160):
         await editor.apply(
@@ -318,7 +318,7 @@
 
 async def test_large_imports_do_not_fill_the_object(monkeypatch):
     monkeypatch.setattr(_history, "_MAX_EDITS_BYTES", 20_000)
-    store = platform.MemoryStore()
+    store = store_lib.MemoryStore()
     editor = table.Editor(store, clock_lib.ManualClock())
     for number in range(30):
         rows = tuple(
--- a/tests/integration/conftest.py
+++ b/tests/integration/conftest.py
@@ -16,9 +16,9 @@
 from sassafrashold import clock as clock_lib
 from sassafrashold import load
 from sassafrashold import table as table_lib
-from sassafrashold.platform import http
 from sassafrashold.standins import deployment as deployment_lib
 from sassafrashold.standins import harness
+from sassafrashold.store import http
 
 StartDeployment = Callable[..., Awaitable[harness.Cluster]]
 
