--- /dev/null
+++ b/src/sassafrashold/calls/__init__.py
@@ -0,0 +1,37 @@
+"""Decisions about calls from an entry host straight to leafs; no I/O."""
+
+from sassafrashold.calls._cold import ColdLimiter
+from sassafrashold.calls._gather import GatherOutcome
+from sassafrashold.calls._gather import GatherPlan
+from sassafrashold.calls._gather import GatherTimes
+from sassafrashold.calls._leaf_record import LeafRecord
+from sassafrashold.calls._merge import greatest_records
+from sassafrashold.calls._messages import Answered
+from sassafrashold.calls._messages import CallResult
+from sassafrashold.calls._messages import ClientRequest
+from sassafrashold.calls._messages import Failed
+from sassafrashold.calls._messages import FailureKind
+from sassafrashold.calls._messages import LeafAnswer
+from sassafrashold.calls._service_call import Send
+from sassafrashold.calls._service_call import ServiceCall
+from sassafrashold.calls._state import CallState
+from sassafrashold.calls._state import ShareOfLimits
+
+__all__ = [
+    "Answered",
+    "CallResult",
+    "CallState",
+    "ClientRequest",
+    "ColdLimiter",
+    "Failed",
+    "FailureKind",
+    "GatherOutcome",
+    "GatherPlan",
+    "GatherTimes",
+    "LeafAnswer",
+    "LeafRecord",
+    "Send",
+    "ServiceCall",
+    "ShareOfLimits",
+    "greatest_records",
+]
--- /dev/null
+++ b/src/sassafrashold/calls/_gather.py
@@ -0,0 +1,189 @@
+"""One request to all shards of a route."""
+
+import dataclasses
+import datetime
+
+from sassafrashold import routing
+from sassafrashold.calls import _merge
+from sassafrashold.calls import _messages
+from sassafrashold.calls import _service_call
+from sassafrashold.calls import _state
+
+
+@dataclasses.dataclass(frozen=True)
+class GatherTimes:
+    """Monotonic times of one request."""
+
+    answer_at: datetime.timedelta
+    """From here an answer with enough shards does not wait for the others."""
+
+    end: datetime.timedelta
+    """Here the request fails if too few shards are in."""
+
+
+@dataclasses.dataclass(frozen=True)
+class GatherOutcome:
+    """How a gathered request ended."""
+
+    signatures: tuple[str, ...]
+    """Signatures of the parts that are in, by shard; empty if it failed."""
+
+    body: bytes
+    """The greatest records of these parts."""
+
+    missing: int
+    """Shards that are not in."""
+
+    missing_services: tuple[str, ...]
+    """Their names."""
+
+    enough: bool
+    """Whether the parts make an answer."""
+
+    sent: bool
+    """Whether any leaf may have worked on the request."""
+
+
+class GatherPlan:
+    """Tracks each shard and takes one part of it; no I/O.
+
+    An answer that is on time and lacks a shard is worth more to callers than
+    a whole one that is late: from `answer_at` on it is made from what is in,
+    as soon as that is the least share that the route allows.
+    """
+
+    def __init__(
+        self,
+        state: _state.CallState,
+        route: routing.Route,
+        gather: routing.Gather,
+        times: GatherTimes,
+    ) -> None:
+        """Initializes the plan.
+
+        Args:
+            state: Shared state of this host.
+            route: Route of the request.
+            gather: Its shards, from one configuration.
+            times: When to answer.
+        """
+        self._gather = gather
+        self._times = times
+        self._calls = [
+            _service_call.ServiceCall(state, route, service, shard)
+            for shard, service in enumerate(gather.shards)
+        ]
+        self._part_by_shard: dict[int, _messages.LeafAnswer] = {}
+        self._settled = [False] * len(self._calls)
+
+    def start(self, now: datetime.timedelta) -> list[_service_call.Send]:
+        """Returns the first calls."""
+        sends = []
+        for shard, call in enumerate(self._calls):
+            send = call.first(now)
+            if send is None:
+                self._settled[shard] = True
+            else:
+                sends.append(send)
+        return sends
+
+    def next_time(self, now: datetime.timedelta) -> datetime.timedelta:
+        """Returns when `tick` is to be called at the latest."""
+        due = self._times.end
+        if now < self._times.answer_at:
+            due = self._times.answer_at
+        for shard, call in enumerate(self._calls):
+            hedge_at = call.next_time()
+            if not self._settled[shard] and hedge_at is not None:
+                due = min(due, hedge_at)
+        return due
+
+    def tick(self, now: datetime.timedelta) -> list[_service_call.Send]:
+        """Returns the hedges that are due."""
+        sends = []
+        for shard, call in enumerate(self._calls):
+            if self._settled[shard]:
+                continue
+            send = call.hedge(now)
+            if send is not None:
+                sends.append(send)
+        return sends
+
+    def ended(
+        self,
+        send: _service_call.Send,
+        result: _messages.CallResult,
+        now: datetime.timedelta,
+    ) -> list[_service_call.Send]:
+        """Takes the end of a call.
+
+        Returns:
+            A retry, if there is one.
+        """
+        call = self._calls[send.shard]
+        match result:
+            case _messages.Answered(answer):
+                call.succeeded(send, now)
+                if not self._settled[send.shard]:
+                    self._settled[send.shard] = True
+                    self._part_by_shard[send.shard] = answer
+                return []
+            case _messages.Failed() as failure:
+                retry = call.failed(send, failure, now)
+                if retry is not None:
+                    return [retry]
+                if not call.is_open:
+                    self._settled[send.shard] = True
+                return []
+
+    def outcome(self, now: datetime.timedelta) -> GatherOutcome | None:
+        """Returns how the request ends; None while it goes on."""
+        count = len(self._calls)
+        have = len(self._part_by_shard)
+        enough = have > 0 and have >= self._gather.min_coverage * count - 1e-9
+        if all(self._settled):
+            return self._result(enough)
+        if enough and now >= self._times.answer_at:
+            return self._result(True)
+        if now >= self._times.end:
+            return self._result(False)
+        lost = sum(
+            settled and shard not in self._part_by_shard
+            for shard, settled in enumerate(self._settled)
+        )
+        if count - lost < self._gather.min_coverage * count - 1e-9:
+            return self._result(False)
+        return None
+
+    def release_open(self) -> list[_service_call.Send]:
+        """Returns the calls that still run and whose parts are not needed."""
+        return [send for call in self._calls for send in call.release_open()]
+
+    def give_up(self, now: datetime.timedelta) -> list[_service_call.Send]:
+        """Ends all calls; returns those that are to be cancelled."""
+        return [send for call in self._calls for send in call.give_up(now)]
+
+    def call(self, shard: int) -> _service_call.ServiceCall:
+        """Returns the call to a shard."""
+        return self._calls[shard]
+
+    def _result(self, enough: bool) -> GatherOutcome:
+        missing = tuple(
+            call.service
+            for shard, call in enumerate(self._calls)
+            if shard not in self._part_by_shard
+        )
+        sent = any(call.was_sent for call in self._calls)
+        if not enough:
+            return GatherOutcome((), b"", len(missing), missing, False, sent)
+        parts = [self._part_by_shard[i] for i in sorted(self._part_by_shard)]
+        return GatherOutcome(
+            tuple(part.signature or "" for part in parts),
+            _merge.greatest_records(
+                (part.body for part in parts), self._gather.top_records
+            ),
+            len(missing),
+            missing,
+            True,
+            sent,
+        )
--- /dev/null
+++ b/src/sassafrashold/calls/_service_call.py
@@ -0,0 +1,213 @@
+"""One request at one service: first call, retries and hedges."""
+
+import dataclasses
+import datetime
+
+from sassafrashold import directory as directory_lib
+from sassafrashold import routing
+from sassafrashold.calls import _messages
+from sassafrashold.calls import _state
+
+# A hedge that found no budget or no healthy leaf is tried again after this.
+_RECHECK = datetime.timedelta(milliseconds=10)
+# A leaf in trouble gets a hedge only when the first call is this late.
+_ANY_LEAF_DELAYS = 2
+# Free attempts at leafs that did not get the request or did not run it.
+_MAX_SENDS = 6
+
+
+@dataclasses.dataclass(frozen=True, eq=False)
+class Send:
+    """A call to be sent; compared by identity."""
+
+    shard: int
+    """Index of the shard, 0 for a single service."""
+
+    leaf: directory_lib.LeafEntry
+    """The leaf that gets it."""
+
+    sent_at: datetime.timedelta
+    """Monotonic time."""
+
+    extra: bool
+    """Whether it is paid from the budget of extra calls."""
+
+
+class ServiceCall:
+    """Decides which leafs of a service get a request, and when.
+
+    The caller carries out the returned calls and reports their ends. At most
+    `max_leafs` leafs may run the request; if it is not idempotent, at most
+    one.
+    """
+
+    def __init__(
+        self,
+        state: _state.CallState,
+        route: routing.Route,
+        service: str,
+        shard: int = 0,
+    ) -> None:
+        """Initializes the call; nothing is sent yet.
+
+        Args:
+            state: Shared state of this host.
+            route: Route of the request.
+            service: Service to call.
+            shard: Index that the sends carry.
+        """
+        self.service = service
+        self._state = state
+        self._route = route
+        self._shard = shard
+        self._latency = state.latency(route)
+        self._tried: set[directory_lib.LeafRef] = set()
+        self._open: dict[Send, None] = {}
+        self._may_have_run = 0
+        self._arrived = False
+        self._sends = 0
+        self._hedge_at: datetime.timedelta | None = None
+        self.last_failure: _messages.Failed | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Whether a call is on its way."""
+        return bool(self._open)
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a leaf may have worked on the request, or still does."""
+        return self._may_have_run > 0 or bool(self._open)
+
+    @property
+    def was_sent(self) -> bool:
+        """Whether any call was sent."""
+        return self._sends > 0
+
+    def first(self, now: datetime.timedelta) -> Send | None:
+        """Returns the first call; None if no leaf can take it."""
+        self._state.budget(self.service).earn(1)
+        leaf = self._state.choose(self.service, self._route, (), now)
+        return None if leaf is None else self._send(leaf, now, extra=False)
+
+    def next_time(self) -> datetime.timedelta | None:
+        """Returns when `hedge` is to be asked; None if never."""
+        return self._hedge_at if self._open else None
+
+    def hedge(self, now: datetime.timedelta) -> Send | None:
+        """Returns a second call if one is due, possible and paid for."""
+        if self._hedge_at is None or now < self._hedge_at or not self._open:
+            return None
+        if not self._may_send_more():
+            self._hedge_at = None
+            return None
+        oldest = next(iter(self._open))
+        delay = self._latency.hedge_delay(now)
+        any_leaf = now - oldest.sent_at >= delay * _ANY_LEAF_DELAYS
+        leaf = self._state.choose(
+            self.service,
+            self._route,
+            self._tried,
+            now,
+            only_healthy=not any_leaf,
+        )
+        if leaf is None or not self._state.budget(self.service).try_spend(
+            urgent=any_leaf
+        ):
+            self._hedge_at = now + _RECHECK
+            return None
+        return self._send(leaf, now, extra=True)
+
+    def succeeded(self, send: Send, now: datetime.timedelta) -> None:
+        """Notes that a call was answered."""
+        self._open.pop(send, None)
+        self.note_end(send, now, failed=False)
+
+    def note_end(
+        self, send: Send, now: datetime.timedelta, failed: bool
+    ) -> None:
+        """Notes the end of a call in the leaf's record.
+
+        Also for calls that end after the request was answered.
+        """
+        duration = self._state.record(send.leaf.ref).ended(
+            send, now, self._latency.slow_from(now), failed
+        )
+        if not failed:
+            self._latency.record(duration, now)
+
+    def failed(
+        self, send: Send, failure: _messages.Failed, now: datetime.timedelta
+    ) -> Send | None:
+        """Notes the failure of a call.
+
+        Returns:
+            A retry; None if there is none now.
+        """
+        self._open.pop(send, None)
+        self.note_end(send, now, failed=True)
+        self.last_failure = failure
+        if failure.may_have_run:
+            self._may_have_run += 1
+        if failure.kind is not _messages.FailureKind.NOT_SENT:
+            self._arrived = True
+        if not self._may_send_more():
+            return None
+        leaf = self._state.choose(self.service, self._route, self._tried, now)
+        if leaf is None:
+            return None
+        if self._arrived or self._open:
+            if not self._state.budget(self.service).try_spend():
+                return None
+            return self._send(leaf, now, extra=True)
+        return self._send(leaf, now, extra=False)
+
+    def give_up(self, now: datetime.timedelta) -> tuple[Send, ...]:
+        """Ends the call without a result.
+
+        Returns:
+            The open calls, to be cancelled.
+        """
+        for send in self._open:
+            self.note_given_up(send, now)
+        abandoned = tuple(self._open)
+        if abandoned:
+            self._may_have_run += len(abandoned)
+        self._open.clear()
+        return abandoned
+
+    def note_given_up(self, send: Send, now: datetime.timedelta) -> None:
+        """Notes in the leaf's record that a call was cancelled."""
+        overdue = now - send.sent_at >= self._latency.overdue_from(now)
+        self._state.record(send.leaf.ref).gave_up(send, now, overdue)
+
+    def release_open(self) -> tuple[Send, ...]:
+        """Returns the open calls, which stay open without a taker."""
+        remaining = tuple(self._open)
+        self._may_have_run += len(remaining)
+        self._open.clear()
+        return remaining
+
+    def _may_send_more(self) -> bool:
+        if self._sends >= _MAX_SENDS:
+            return False
+        running = self._may_have_run + len(self._open)
+        if not self._route.idempotent:
+            return running == 0
+        return running < self._route.max_leafs
+
+    def _send(
+        self,
+        leaf: directory_lib.LeafEntry,
+        now: datetime.timedelta,
+        extra: bool,
+    ) -> Send:
+        send = Send(self._shard, leaf, now, extra)
+        self._open[send] = None
+        self._tried.add(leaf.ref)
+        self._sends += 1
+        self._state.record(leaf.ref).began(send, now)
+        self._hedge_at = None
+        if self._route.idempotent:
+            self._hedge_at = now + self._latency.hedge_delay(now)
+        return send
--- /dev/null
+++ b/src/sassafrashold/directory/__init__.py
@@ -0,0 +1,19 @@
+"""Which leafs exist and which of them may get work."""
+
+from sassafrashold.directory._directory import LeafChange
+from sassafrashold.directory._directory import LeafDirectory
+from sassafrashold.directory._directory import LeafRemoved
+from sassafrashold.directory._directory import LeafSeen
+from sassafrashold.directory._directory import ReleaseTimes
+from sassafrashold.directory._entries import LeafEntry
+from sassafrashold.directory._entries import LeafRef
+
+__all__ = [
+    "LeafChange",
+    "LeafDirectory",
+    "LeafEntry",
+    "LeafRef",
+    "LeafRemoved",
+    "LeafSeen",
+    "ReleaseTimes",
+]
--- a/src/sassafrashold/errors.py
+++ b/src/sassafrashold/errors.py
@@ -44,6 +44,7 @@
     STORE_UNAVAILABLE = "STORE_UNAVAILABLE"
     STORE_AMBIGUOUS = "STORE_AMBIGUOUS"
     STORE_CONFLICT = "STORE_CONFLICT"
+    HISTORY_GONE = "HISTORY_GONE"
     BAD_SETTINGS = "BAD_SETTINGS"
     BAD_TABLE = "BAD_TABLE"
     BAD_DOCUMENT = "BAD_DOCUMENT"
@@ -111,6 +112,16 @@
         self.found = found
 
 
+class HistoryGoneError(StoreError):
+    """The store no longer has the changes since a revision."""
+
+    def __init__(self, key: str) -> None:
+        """Initializes the error with what was watched."""
+        super().__init__(
+            ErrorCode.HISTORY_GONE, f"history of {key!r} is no longer kept"
+        )
+
+
 class TableError(SassafrasError):
     """A table, a cell or an edit is invalid."""
 
--- /dev/null
+++ b/src/sassafrashold/front/_follower.py
@@ -0,0 +1,162 @@
+"""Follows the store: configuration, leafs and zones out of service."""
+
+import asyncio
+from collections.abc import Callable
+import datetime
+import logging
+from typing import Generic
+from typing import TypeVar
+
+from sassafrashold import backoff
+from sassafrashold import errors
+from sassafrashold.front import _interfaces
+
+_LOGGER = logging.getLogger(__name__)
+_ItemT = TypeVar("_ItemT")
+# Every call has a price, so a waiting one lasts nearly as long as is allowed.
+_WATCH_WAIT = datetime.timedelta(seconds=25)
+# Calls that come seconds old cost a tenth; one that fails shows an outage.
+_PROBE_INTERVAL = datetime.timedelta(seconds=2)
+_AWAY_PROBE_INTERVAL = datetime.timedelta(milliseconds=700)
+_BACKOFF = backoff.Backoff(
+    base=datetime.timedelta(milliseconds=200),
+    cap=datetime.timedelta(milliseconds=1000),
+)
+_FAILURES_UNTIL_LOST = 2
+
+
+class StoreHealth:
+    """Whether the store answers, as all callers of this host have seen."""
+
+    def __init__(
+        self,
+        registry: _interfaces.HostRegistry,
+        on_change: Callable[[bool], None],
+    ) -> None:
+        """Initializes the task.
+
+        Args:
+            registry: Makes the cheap calls.
+            on_change: Called with True when the store is lost and False when
+                it is back.
+        """
+        self._registry = registry
+        self._on_change = on_change
+        self._back = asyncio.Event()
+        self._back.set()
+        self.losses = 0
+
+    @property
+    def is_away(self) -> bool:
+        """Whether the last call failed."""
+        return not self._back.is_set()
+
+    async def run(self) -> None:
+        """Probes the store until cancelled."""
+        while True:
+            interval = _AWAY_PROBE_INTERVAL if self.is_away else _PROBE_INTERVAL
+            await asyncio.sleep(interval.total_seconds())
+            try:
+                await self._registry.probe()
+            except errors.StoreError as error:
+                self.note_lost(error)
+            else:
+                self._note_back()
+
+    async def wait_back(self) -> None:
+        """Waits until the store answers."""
+        await self._back.wait()
+
+    def note_lost(self, error: errors.StoreError) -> None:
+        """Notes a failed call."""
+        if self.is_away:
+            return
+        self._back.clear()
+        self.losses += 1
+        _LOGGER.warning("store lost", extra={"cause": error.message})
+        self._on_change(True)
+
+    def _note_back(self) -> None:
+        if not self.is_away:
+            return
+        self._back.set()
+        _LOGGER.info("store is back")
+        self._on_change(False)
+
+
+class Follower(Generic[_ItemT]):
+    """Reads all items of a topic, then follows the changes."""
+
+    def __init__(
+        self,
+        topic: _interfaces.Topic[_ItemT],
+        health: StoreHealth,
+        on_snapshot: Callable[[tuple[_ItemT, ...]], None],
+        on_changes: Callable[[tuple[_ItemT, ...]], None],
+        pause: datetime.timedelta,
+    ) -> None:
+        """Initializes the task.
+
+        Args:
+            topic: What to follow.
+            health: Knows when the store is away.
+            on_snapshot: Gets all items.
+            on_changes: Gets changes in order.
+            pause: Time between two calls, so that changes that come together
+                are read together.
+        """
+        self._topic = topic
+        self._health = health
+        self._on_snapshot = on_snapshot
+        self._on_changes = on_changes
+        self._pause = pause
+        self._revision: int | None = None
+        self._call: asyncio.Task[None] | None = None
+
+    def restart_call(self) -> None:
+        """Ends a waiting call; one made while the store was away may hang."""
+        if self._call is not None:
+            self._call.cancel()
+
+    async def run(self) -> None:
+        """Follows until cancelled."""
+        failures = 0
+        while True:
+            self._call = asyncio.create_task(self._step())
+            try:
+                await self._call
+            except asyncio.CancelledError:
+                current = asyncio.current_task()
+                if current is not None and current.cancelling():
+                    self._call.cancel()
+                    raise
+            except errors.HistoryGoneError:
+                _LOGGER.warning(
+                    "store has dropped its history; reading all",
+                    extra={
+                        "topic": self._topic.name,
+                        "revision": self._revision,
+                    },
+                )
+                self._revision = None
+            except errors.StoreError as error:
+                failures += 1
+                await asyncio.sleep(_BACKOFF.delay(failures).total_seconds())
+                # A waiting call may be cut while the store is well.
+                if failures >= _FAILURES_UNTIL_LOST:
+                    self._health.note_lost(error)
+                    await self._health.wait_back()
+            else:
+                failures = 0
+
+    async def _step(self) -> None:
+        if self._revision is None:
+            found = await self._topic.snapshot()
+            self._revision = found.revision
+            self._on_snapshot(found.items)
+            return
+        found = await self._topic.changes(self._revision, _WATCH_WAIT)
+        self._revision = max(found.revision, self._revision)
+        if found.items:
+            self._on_changes(found.items)
+        await asyncio.sleep(self._pause.total_seconds())
--- /dev/null
+++ b/src/sassafrashold/front/_metrics.py
@@ -0,0 +1,81 @@
+"""Counters and histograms of the daemon, in the Prometheus text format."""
+
+import datetime
+
+import prometheus_client
+from prometheus_client import exposition
+
+CONTENT_TYPE = exposition.CONTENT_TYPE_PLAIN_0_0_4
+_LATENCY_BUCKETS_S = (
+    0.005,
+    0.01,
+    0.02,
+    0.04,
+    0.06,
+    0.08,
+    0.1,
+    0.15,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+)
+
+
+class FrontMetrics:
+    """All metrics of one process; docs/OPERATIONS.md lists them."""
+
+    def __init__(self) -> None:
+        self._registry = prometheus_client.CollectorRegistry()
+        self._requests = prometheus_client.Counter(
+            "sassafras_requests",
+            "Requests of callers by status and cause.",
+            ("status", "cause"),
+            registry=self._registry,
+        )
+        self._latency = prometheus_client.Histogram(
+            "sassafras_request_seconds",
+            "Time from the arrival of a request to its answer.",
+            registry=self._registry,
+            buckets=_LATENCY_BUCKETS_S,
+        )
+        self._missing = prometheus_client.Counter(
+            "sassafras_missing_parts",
+            "Shards left out of merged answers.",
+            registry=self._registry,
+        )
+        self._gauges = {
+            name: prometheus_client.Gauge(name, text, registry=self._registry)
+            for name, text in (
+                ("sassafras_configuration_version", "Version in force."),
+                ("sassafras_leafs", "Leafs that are listed."),
+                ("sassafras_hosts", "Live hosts of the system."),
+                ("sassafras_ready", "1 if callers may be sent here."),
+                ("sassafras_store_calls", "Calls to the store so far."),
+                ("sassafras_store_away", "1 if the store does not answer."),
+                ("sassafras_leaf_connections", "Connections opened so far."),
+                ("sassafras_log_lines_left_out", "Log lines left out."),
+            )
+        }
+
+    def request(
+        self,
+        status: int,
+        cause: str,
+        duration: datetime.timedelta,
+        missing: int,
+    ) -> None:
+        """Counts a request that was answered."""
+        self._requests.labels(str(status), cause).inc()
+        self._latency.observe(duration.total_seconds())
+        if missing:
+            self._missing.inc(missing)
+
+    def gauge(self, name: str, value: float) -> None:
+        """Sets a gauge by its full name."""
+        self._gauges[name].set(value)
+
+    def text(self) -> bytes:
+        """Returns all metrics."""
+        return prometheus_client.generate_latest(self._registry)
--- /dev/null
+++ b/src/sassafrashold/front/_requests.py
@@ -0,0 +1,268 @@
+"""Serves one request of a caller."""
+
+from collections.abc import Mapping
+import dataclasses
+import datetime
+import enum
+import logging
+
+from sassafrashold import calls
+from sassafrashold import clock as clock_lib
+from sassafrashold import routing
+from sassafrashold.front import _exchange
+from sassafrashold.front import _interfaces
+from sassafrashold.front import _leaf_pool
+
+_LOGGER = logging.getLogger(__name__)
+_ZERO = datetime.timedelta()
+# From the caller's clock to ours and back: connection set-up, request and
+# answer at the 3 ms one way of the farthest callers, and 2 ms of processing.
+_ANSWER_MARGIN = datetime.timedelta(milliseconds=14)
+# An answer about to miss the caller's deadline is sent this much earlier.
+_DEADLINE_MARGIN = datetime.timedelta(milliseconds=30)
+_MAX_DEADLINE_MARGIN_SHARE = 0.1
+# Without a deadline of the caller the timeout of the route holds.
+_SOON = datetime.timedelta(milliseconds=100)
+# Time after which a host has usually read its first configuration.
+_UNTIL_CONFIGURED = datetime.timedelta(milliseconds=500)
+
+
+class Cause(enum.Enum):
+    """Why a request was not served; in logs and metrics."""
+
+    NOT_CONFIGURED = "not_configured"
+    NO_ROUTE = "no_route"
+    BODY_TOO_LARGE = "body_too_large"
+    NO_LEAF = "no_leaf"
+    LEAFS_REJECTED = "leafs_rejected"
+    LEAF_FAILED = "leaf_failed"
+    TOO_FEW_PARTS = "too_few_parts"
+    DEADLINE = "deadline"
+
+
+@dataclasses.dataclass(frozen=True)
+class Reply:
+    """The answer to a caller."""
+
+    status: int
+    """HTTP status."""
+
+    headers: tuple[tuple[str, str], ...]
+    """End-to-end headers."""
+
+    body: bytes
+    """The whole body."""
+
+    cause: Cause | None = None
+    """Why the request was not served; None if a leaf's answer is passed on."""
+
+    missing: tuple[str, ...] = ()
+    """Shards that are not in a merged answer."""
+
+    facts: Mapping[str, object] = dataclasses.field(default_factory=dict)
+    """What decided the outcome; for logs."""
+
+
+class RequestServer:
+    """Routes requests and carries out their plans."""
+
+    def __init__(
+        self,
+        table: routing.RouteTable,
+        state: calls.CallState,
+        pool: _leaf_pool.LeafPool,
+        protocol: _interfaces.Protocol,
+        clock: clock_lib.Clock,
+    ) -> None:
+        """Initializes the server.
+
+        Args:
+            table: Routes in force.
+            state: Shared state of all calls.
+            pool: Connections to leafs.
+            protocol: How answers are spelled.
+            clock: The clock.
+        """
+        self._table = table
+        self._state = state
+        self._pool = pool
+        self._protocol = protocol
+        self._clock = clock
+
+    async def serve(self, request: calls.ClientRequest) -> Reply:
+        """Serves a request; cancelled when the caller leaves."""
+        now = self._clock.monotonic()
+        configuration = self._table.current
+        if configuration is None:
+            return self._refusal(503, Cause.NOT_CONFIGURED, _UNTIL_CONFIGURED)
+        if len(request.body) > configuration.client_limits.max_body_bytes:
+            return _own_reply(413, Cause.BODY_TOO_LARGE)
+        route = self._table.match(request.host, request.path)
+        if route is None:
+            return _own_reply(404, Cause.NO_ROUTE)
+        end, deadline = _times(request, route, now)
+        services = self._table.services(route)
+        match route.target:
+            case routing.Gather() as gather:
+                reply = await self._gather(
+                    request, route, gather, now, end, deadline
+                )
+            case routing.SingleService() | routing.SplitTraffic():
+                reply = await self._call_one(
+                    request, route, services[0], end, deadline
+                )
+        facts = {
+            "route": route.name,
+            "configuration": configuration.version,
+            "time_left_ms": clock_lib.to_ms(deadline - now),
+            **reply.facts,
+        }
+        return dataclasses.replace(reply, facts=facts)
+
+    async def _gather(
+        self,
+        request: calls.ClientRequest,
+        route: routing.Route,
+        gather: routing.Gather,
+        arrived: datetime.timedelta,
+        end: datetime.timedelta,
+        deadline: datetime.timedelta,
+    ) -> Reply:
+        answer_at = arrived + max(
+            route.target_latency - _ANSWER_MARGIN, route.target_latency / 2
+        )
+        plan = calls.GatherPlan(
+            self._state, route, gather, calls.GatherTimes(answer_at, end)
+        )
+        exchange = _exchange.Exchange(
+            self._pool, self._clock, request, deadline, runs_once=False
+        )
+        try:
+            exchange.dispatch(plan.start(arrived))
+            while True:
+                now = self._clock.monotonic()
+                outcome = plan.outcome(now)
+                if outcome is not None:
+                    break
+                for send, result in await exchange.wait(plan.next_time(now)):
+                    exchange.dispatch(
+                        plan.ended(send, result, self._clock.monotonic())
+                    )
+                exchange.dispatch(plan.tick(self._clock.monotonic()))
+        except BaseException:
+            exchange.cancel(plan.give_up(self._clock.monotonic()))
+            raise
+        if outcome.enough:
+            for send in plan.release_open():
+                exchange.release((send,), plan.call(send.shard))
+            headers = self._protocol.gather_headers(
+                outcome.signatures, outcome.missing
+            )
+            return Reply(
+                200,
+                tuple(headers.items()),
+                outcome.body,
+                missing=outcome.missing_services,
+            )
+        exchange.cancel(plan.give_up(now))
+        if not outcome.sent:
+            return self._refusal(503, Cause.NO_LEAF, _SOON)
+        if now >= end:
+            return _own_reply(504, Cause.DEADLINE)
+        return _own_reply(502, Cause.TOO_FEW_PARTS)
+
+    async def _call_one(
+        self,
+        request: calls.ClientRequest,
+        route: routing.Route,
+        service: str,
+        end: datetime.timedelta,
+        deadline: datetime.timedelta,
+    ) -> Reply:
+        call = calls.ServiceCall(self._state, route, service)
+        exchange = _exchange.Exchange(
+            self._pool,
+            self._clock,
+            request,
+            deadline,
+            runs_once=not route.idempotent,
+        )
+        now = self._clock.monotonic()
+        first = call.first(now)
+        if first is None:
+            return self._refusal(503, Cause.NO_LEAF, _SOON)
+        try:
+            exchange.dispatch((first,))
+            while call.is_open:
+                now = self._clock.monotonic()
+                if now >= end:
+                    exchange.cancel(call.give_up(now))
+                    return _own_reply(504, Cause.DEADLINE)
+                next_time = call.next_time()
+                until = end if next_time is None else min(end, next_time)
+                for send, result in await exchange.wait(until):
+                    now = self._clock.monotonic()
+                    match result:
+                        case calls.Answered(answer):
+                            call.succeeded(send, now)
+                            exchange.release(call.release_open(), call)
+                            return Reply(
+                                answer.status, answer.headers, answer.body
+                            )
+                        case calls.Failed() as failure:
+                            retry = call.failed(send, failure, now)
+                            if retry is not None:
+                                exchange.dispatch((retry,))
+                hedge = call.hedge(self._clock.monotonic())
+                if hedge is not None:
+                    exchange.dispatch((hedge,))
+        except BaseException:
+            exchange.cancel(call.give_up(self._clock.monotonic()))
+            raise
+        return self._failure(call)
+
+    def _failure(self, call: calls.ServiceCall) -> Reply:
+        failure = call.last_failure
+        if not call.may_have_run:
+            return self._refusal(503, Cause.LEAFS_REJECTED, _SOON)
+        if (
+            failure is not None
+            and failure.kind is calls.FailureKind.ERROR
+            and failure.answer is not None
+        ):
+            answer = failure.answer
+            return Reply(
+                answer.status, answer.headers, answer.body, Cause.LEAF_FAILED
+            )
+        if failure is not None and failure.kind is calls.FailureKind.TIMEOUT:
+            return _own_reply(504, Cause.DEADLINE)
+        return _own_reply(502, Cause.LEAF_FAILED)
+
+    def _refusal(
+        self, status: int, cause: Cause, delay: datetime.timedelta
+    ) -> Reply:
+        return _own_reply(status, cause, self._protocol.retry_after(delay))
+
+
+def _times(
+    request: calls.ClientRequest,
+    route: routing.Route,
+    now: datetime.timedelta,
+) -> tuple[datetime.timedelta, datetime.timedelta]:
+    """Returns when the request fails here, and until when leafs may work."""
+    left = route.timeout
+    if request.time_left is not None:
+        left = min(left, request.time_left)
+    margin = min(_DEADLINE_MARGIN, left * _MAX_DEADLINE_MARGIN_SHARE)
+    return now + left - margin, now + left
+
+
+def _own_reply(
+    status: int, cause: Cause, headers: Mapping[str, str] | None = None
+) -> Reply:
+    return Reply(
+        status,
+        tuple((headers or {}).items()),
+        cause.value.encode() + b"\n",
+        cause,
+    )
--- /dev/null
+++ b/src/sassafrashold/front/_server.py
@@ -0,0 +1,162 @@
+"""The HTTP side towards callers."""
+
+import asyncio
+import datetime
+from typing import Any
+
+from aiohttp import web
+
+from sassafrashold import calls
+from sassafrashold import clock as clock_lib
+from sassafrashold import settings
+from sassafrashold.front import _interfaces
+from sassafrashold.front import _metrics
+from sassafrashold.front import _request_log
+from sassafrashold.front import _requests
+
+_BACKLOG = 1024
+# Idle connections are left to callers and the balancer to close: one closed
+# here crosses requests on their way.
+_KEEP_OPEN_S = 3600.0
+_MAX_HEAD_BYTES = 65536
+_MAX_HEADERS = 256
+# Larger bodies are refused by the configuration's limit.
+_MAX_BODY_BYTES = 16 * 2**20
+_CLIENT_CLOSED_STATUS = 499
+
+
+class CallerServer:
+    """Accepts requests and writes their answers."""
+
+    def __init__(
+        self,
+        requests: _requests.RequestServer,
+        protocol: _interfaces.Protocol,
+        metrics: _metrics.FrontMetrics,
+        log: _request_log.RequestLog,
+        clock: clock_lib.Clock,
+    ) -> None:
+        """Initializes the server.
+
+        Args:
+            requests: Serves them.
+            protocol: Decodes them.
+            metrics: Counts them.
+            log: Writes a line about those that were not served well.
+            clock: The clock.
+        """
+        self._requests = requests
+        self._protocol = protocol
+        self._metrics = metrics
+        self._log = log
+        self._clock = clock
+        self._server: web.Server | None = None
+        self._runner: web.ServerRunner | None = None
+        self._sites: list[web.TCPSite] = []
+        self._draining = False
+        self.open_requests = 0
+
+    async def start(self, address: settings.Address) -> None:
+        """Begins to listen."""
+        self._server = web.Server(
+            self._handle,
+            request_factory=_make_request,
+            handler_cancellation=True,
+            keepalive_timeout=_KEEP_OPEN_S,
+            max_line_size=_MAX_HEAD_BYTES,
+            max_field_size=_MAX_HEAD_BYTES,
+            max_headers=_MAX_HEADERS,
+            access_log=None,
+            auto_decompress=False,
+        )
+        self._runner = web.ServerRunner(self._server)
+        await self._runner.setup()
+        site = web.TCPSite(
+            self._runner, address.ip, address.port, backlog=_BACKLOG
+        )
+        await site.start()
+        self._sites.append(site)
+
+    def drain(self) -> None:
+        """From now on each answer ends its connection."""
+        self._draining = True
+
+    @property
+    def connections(self) -> int:
+        """Open connections of callers."""
+        return 0 if self._server is None else len(self._server.connections)
+
+    async def stop_accepting(self) -> None:
+        """Closes the listening socket; open connections go on."""
+        for site in self._sites:
+            await site.stop()
+
+    async def close(self, timeout_s: float) -> None:
+        """Closes idle connections at once and others when they are idle.
+
+        Args:
+            timeout_s: After this time open requests are cut off.
+        """
+        if self._server is not None:
+            self._server.pre_shutdown()
+            await self._server.shutdown(timeout_s)
+
+    async def _handle(self, message: web.BaseRequest) -> web.StreamResponse:
+        arrived = self._clock.monotonic()
+        self.open_requests += 1
+        request: calls.ClientRequest | None = None
+        reply: _requests.Reply | None = None
+        try:
+            body = await message.read()
+            request = self._protocol.client_request(
+                message.method,
+                message.message.path,
+                message.message.raw_headers,
+                body,
+            )
+            reply = await self._requests.serve(request)
+            return self._response(reply)
+        finally:
+            self.open_requests -= 1
+            self._note(request, reply, arrived)
+
+    def _response(self, reply: _requests.Reply) -> web.Response:
+        response = web.Response(status=reply.status, body=reply.body)
+        for name, value in reply.headers:
+            if name.lower() == "content-type":
+                response.headers[name] = value
+            else:
+                response.headers.add(name, value)
+        if self._draining:
+            response.force_close()
+        return response
+
+    def _note(
+        self,
+        request: calls.ClientRequest | None,
+        reply: _requests.Reply | None,
+        arrived: datetime.timedelta,
+    ) -> None:
+        duration = self._clock.monotonic() - arrived
+        status = _CLIENT_CLOSED_STATUS if reply is None else reply.status
+        cause = reply.cause if reply is not None else None
+        missing = 0 if reply is None else len(reply.missing)
+        self._metrics.request(
+            status, cause.value if cause else "", duration, missing
+        )
+        self._log.ended(request, reply, duration)
+
+
+def _make_request(
+    message: Any, payload: Any, protocol: Any, writer: Any, task: Any
+) -> web.BaseRequest:
+    """Makes a request object that admits bodies up to the limit here."""
+    return web.BaseRequest(
+        message,
+        payload,
+        protocol,
+        writer,
+        task,
+        asyncio.get_running_loop(),
+        client_max_size=_MAX_BODY_BYTES,
+    )
--- /dev/null
+++ b/src/sassafrashold/platform/boot.py
@@ -0,0 +1,184 @@
+"""The settings file that the platform writes for each process."""
+
+from collections.abc import Mapping
+import dataclasses
+import datetime
+import pathlib
+
+from sassafrashold import errors
+from sassafrashold import settings
+
+PATH_VARIABLE = "SASSAFRASHOLD_BOOT"
+DEFAULT_PATH = "/etc/sassafrashold/node.conf"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Bounds:
+    """Figures of the platform's rules."""
+
+    drain: datetime.timedelta
+    """After a leaf said that it drains, no request may reach it later."""
+
+    grace: datetime.timedelta
+    """From SIGTERM to SIGKILL."""
+
+    extra_calls_ratio: float
+    """Extra calls for each request to a service, over all hosts."""
+
+    extra_calls_burst: float
+    """Extra calls on top of that."""
+
+    cold_burst_factor: float
+    """Factor on the rate that a service states for cold leafs."""
+
+    cold_slack: float
+    """Requests in a second on top of that."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class HostSettings:
+    """What a process learns at its start."""
+
+    host: str
+    """Name of the host."""
+
+    zone: str
+    """Its availability zone."""
+
+    ip: str
+    """Its address."""
+
+    clients: settings.Address
+    """Where callers connect."""
+
+    readiness: settings.Address
+    """Where the platform asks whether the host takes callers."""
+
+    peers: settings.Address | None
+    """Where other hosts of the system connect."""
+
+    seeds: tuple[settings.Address, ...]
+    """Addresses of other hosts; may be stale."""
+
+    store: settings.Address
+    """The platform's store."""
+
+    bounds: Bounds
+    """Figures of the rules."""
+
+
+class _Fields:
+    """Checked access to the fields of the file."""
+
+    def __init__(self, value_by_name: Mapping[str, str]) -> None:
+        self._value_by_name = value_by_name
+
+    def text(self, name: str) -> str:
+        value = self._value_by_name.get(name, "")
+        if not value:
+            raise _error(name, "a value", value)
+        return value
+
+    def number(self, name: str) -> float:
+        value = self.text(name)
+        try:
+            number = float(value)
+        except ValueError:
+            raise _error(name, "a number", value) from None
+        if not 0 <= number < float("inf"):
+            raise _error(name, "a number of at least 0", value)
+        return number
+
+    def milliseconds(self, name: str) -> datetime.timedelta:
+        return datetime.timedelta(milliseconds=self.number(name))
+
+    def seconds(self, name: str) -> datetime.timedelta:
+        return datetime.timedelta(seconds=self.number(name))
+
+    def address(self, name: str) -> settings.Address:
+        value = self.text(name)
+        try:
+            return settings.Address.parse(value)
+        except ValueError:
+            raise _error(name, "IPv4 address and port", value) from None
+
+    def optional_address(self, name: str) -> settings.Address | None:
+        if not self._value_by_name.get(name):
+            return None
+        return self.address(name)
+
+    def addresses(self, name: str) -> tuple[settings.Address, ...]:
+        found = []
+        for item in self._value_by_name.get(name, "").split(","):
+            if not item.strip():
+                continue
+            try:
+                found.append(settings.Address.parse(item))
+            except ValueError:
+                raise _error(name, "IPv4 addresses and ports", item) from None
+        return tuple(found)
+
+
+def path_from(environment: Mapping[str, str]) -> pathlib.Path:
+    """Returns the path of the settings file."""
+    return pathlib.Path(environment.get(PATH_VARIABLE) or DEFAULT_PATH)
+
+
+def load(path: pathlib.Path) -> HostSettings:
+    """Reads the settings file.
+
+    Raises:
+        SettingsError: The file can't be read, or a field is missing or wrong;
+            the message names the field, its value and what was expected.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.SettingsError(
+            errors.ErrorCode.BAD_SETTINGS, f"{path}: {error}"
+        ) from error
+    return parse(text)
+
+
+def parse(text: str) -> HostSettings:
+    """Parses lines of `name=value`; unknown names are ignored.
+
+    Raises:
+        SettingsError: A field is missing or wrong.
+    """
+    value_by_name = {}
+    for number, line in enumerate(text.splitlines(), start=1):
+        stripped = line.strip()
+        if not stripped or stripped.startswith("#"):
+            continue
+        name, separator, value = stripped.partition("=")
+        if not separator:
+            raise _error(f"line {number}", "name=value", stripped)
+        value_by_name[name.strip()] = value.strip()
+    fields = _Fields(value_by_name)
+    return HostSettings(
+        host=fields.text("node_name"),
+        zone=fields.text("zone"),
+        ip=fields.text("ip"),
+        clients=fields.address("listen.front"),
+        readiness=fields.address("listen.ready"),
+        peers=fields.optional_address("listen.control"),
+        seeds=fields.addresses("seeds"),
+        store=fields.address("platform.address"),
+        bounds=Bounds(
+            drain=fields.milliseconds("bounds.drain_ms"),
+            grace=fields.seconds("bounds.grace_s"),
+            extra_calls_ratio=fields.number("bounds.retry_budget_ratio"),
+            extra_calls_burst=fields.number("bounds.retry_budget_burst"),
+            cold_burst_factor=fields.number("bounds.cold_burst_factor"),
+            cold_slack=fields.number("bounds.cold_slack"),
+        ),
+    )
+
+
+def _error(name: str, expected: str, value: str) -> errors.SettingsError:
+    return errors.SettingsError(
+        errors.ErrorCode.BAD_SETTINGS,
+        f"{name}: expected {expected}, got {value!r}",
+        field=name,
+    )
--- /dev/null
+++ b/src/sassafrashold/platform/wire.py
@@ -0,0 +1,217 @@
+"""Requests and answers as callers and leafs of the platform send them."""
+
+from collections.abc import Sequence
+import datetime
+import math
+
+from sassafrashold import calls
+from sassafrashold import clock as clock_lib
+from sassafrashold import directory
+
+READINESS_PATH = "/readiness"
+_REQUEST_ID = "Request-Id"
+_DEADLINE = "Deadline-Ms"
+_EXPECT_LEAF = "Expect-Instance"
+_SIGNATURE = "Server-Stamp"
+_NOT_RUN = "Not-Executed"
+_COLD = "Cold-Ms"
+_RETRY_AFTER = "Retry-After"
+_PARTS = "Part-Stamps"
+_MISSING = "Missing-Parts"
+_WRONG_LEAF_STATUS = 421
+# Headers that concern one connection, and those that the system sets itself.
+_NOT_FORWARDED = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+        _DEADLINE.lower().encode(),
+        _EXPECT_LEAF.lower().encode(),
+    }
+)
+_NOT_RETURNED = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "date",
+        "server",
+    }
+)
+
+RawHeaders = Sequence[tuple[bytes, bytes]]
+
+
+def client_request(
+    method: str, target: str, headers: RawHeaders, body: bytes
+) -> calls.ClientRequest:
+    """Decodes a request of a caller.
+
+    Args:
+        method: HTTP method.
+        target: Request target as sent.
+        headers: Header names and values as sent.
+        body: The whole body.
+    """
+    value_by_name = {name.lower(): value for name, value in headers}
+    listed = value_by_name.get(b"connection", b"").lower().split(b",")
+    dropped = {item.strip() for item in listed}
+    return calls.ClientRequest(
+        request_id=_text(value_by_name.get(_REQUEST_ID.lower().encode())),
+        method=method,
+        target=target,
+        path=target.partition("?")[0],
+        host=_text(value_by_name.get(b"host")) or "",
+        time_left=_duration_ms(
+            _text(value_by_name.get(_DEADLINE.lower().encode()))
+        ),
+        forwarded_headers=tuple(
+            (name, value)
+            for name, value in headers
+            if name.lower() not in _NOT_FORWARDED
+            and name.lower() not in dropped
+        ),
+        body=body,
+    )
+
+
+def leaf_request(
+    request: calls.ClientRequest,
+    leaf: directory.LeafEntry,
+    time_left: datetime.timedelta,
+) -> bytes:
+    """Encodes a request for a leaf.
+
+    Args:
+        request: Request of the caller; method, target and body stay as sent.
+        leaf: The only leaf that may run it.
+        time_left: How long the caller still waits.
+    """
+    lines = [
+        f"{request.method} {request.target} HTTP/1.1".encode(
+            "utf-8", "surrogateescape"
+        )
+    ]
+    lines.extend(
+        name + b": " + value for name, value in request.forwarded_headers
+    )
+    milliseconds = max(clock_lib.to_ms(time_left), 1)
+    lines.append(f"{_DEADLINE}: {milliseconds}".encode())
+    lines.append(f"{_EXPECT_LEAF}: {leaf.ref.leaf_id}".encode())
+    if request.body or request.method not in ("GET", "HEAD"):
+        lines.append(f"Content-Length: {len(request.body)}".encode())
+    return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+
+
+def answer_belongs(
+    headers: Sequence[tuple[bytes, bytes]], request_id: str | None
+) -> bool:
+    """Returns whether an answer of a leaf names the request.
+
+    An answer without id can't be told from one to another request.
+    """
+    if request_id is None:
+        return True
+    name_wanted = _REQUEST_ID.lower().encode()
+    for name, value in headers:
+        if name.lower() == name_wanted:
+            return value.strip() == request_id.encode(
+                "utf-8", "surrogateescape"
+            )
+    return False
+
+
+def leaf_answer(
+    status: int, headers: RawHeaders, body: bytes
+) -> calls.CallResult:
+    """Decodes a complete answer of a leaf.
+
+    Args:
+        status: HTTP status.
+        headers: Header names and values as sent.
+        body: The whole body.
+    """
+    text_headers = tuple(
+        (_text(name) or "", _text(value) or "") for name, value in headers
+    )
+    value_by_name = {name.lower(): value for name, value in text_headers}
+    answer = calls.LeafAnswer(
+        status=status,
+        headers=tuple(
+            (name, value)
+            for name, value in text_headers
+            if name.lower() not in _NOT_RETURNED
+        ),
+        body=body,
+        signature=value_by_name.get(_SIGNATURE.lower()),
+        not_run=_NOT_RUN.lower() in value_by_name,
+        encoded=value_by_name.get("content-encoding", "identity").lower()
+        != "identity",
+        cold_for=_duration_ms(value_by_name.get(_COLD.lower())),
+    )
+    if status == _WRONG_LEAF_STATUS:
+        return calls.Failed(calls.FailureKind.WRONG_LEAF, answer)
+    if answer.not_run:
+        return calls.Failed(calls.FailureKind.REJECTED, answer)
+    if answer.succeeded:
+        return calls.Answered(answer)
+    if 200 <= status < 300:
+        return calls.Failed(
+            calls.FailureKind.LOST, None, "success without signature"
+        )
+    return calls.Failed(calls.FailureKind.ERROR, answer)
+
+
+def gather_headers(signatures: Sequence[str], missing: int) -> dict[str, str]:
+    """Returns the headers of a merged answer.
+
+    Args:
+        signatures: Signatures of the parts that are in.
+        missing: Shards that are not in.
+    """
+    return {_PARTS: ", ".join(signatures), _MISSING: str(missing)}
+
+
+def retry_after(delay: datetime.timedelta) -> dict[str, str]:
+    """Returns the header that tells a caller when to come back."""
+    return {_RETRY_AFTER: f"{delay.total_seconds():.2f}"}
+
+
+def keep_open(headers: RawHeaders) -> datetime.timedelta | None:
+    """Returns how long a leaf keeps an idle connection, if it says so."""
+    for name, value in headers:
+        if name.lower() != b"keep-alive":
+            continue
+        for item in (_text(value) or "").split(","):
+            key, _, number = item.strip().partition("=")
+            if key.lower() == "timeout" and number.isdecimal():
+                return datetime.timedelta(seconds=int(number))
+    return None
+
+
+def _text(value: bytes | None) -> str | None:
+    if value is None:
+        return None
+    return value.decode("utf-8", "surrogateescape").strip()
+
+
+def _duration_ms(text: str | None) -> datetime.timedelta | None:
+    if not text:
+        return None
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    if not math.isfinite(value) or not 0 <= value < 1e9:
+        return None
+    return datetime.timedelta(milliseconds=value)
--- a/src/sassafrashold/search/__init__.py
+++ b/src/sassafrashold/search/__init__.py
@@ -1,8 +1,8 @@
 """Query plans over many shards: scatter, hedging, retries, coverage."""
 
+from sassafrashold.extra_load import ExtraLoadBudget
 from sassafrashold.search._attempt import Attempt
 from sassafrashold.search._attempt import AttemptKind
-from sassafrashold.search._budget import ExtraLoadBudget
 from sassafrashold.search._coverage import Coverage
 from sassafrashold.search._failures import Reaction
 from sassafrashold.search._failures import reaction_to
--- a/src/sassafrashold/search/_plan.py
+++ b/src/sassafrashold/search/_plan.py
@@ -9,8 +9,8 @@
 import typing
 
 from sassafrashold import errors
+from sassafrashold import extra_load
 from sassafrashold.search import _attempt
-from sassafrashold.search import _budget
 from sassafrashold.search import _coverage
 from sassafrashold.search import _failures
 from sassafrashold.search import _leafs
@@ -90,7 +90,7 @@
         topology: _topology.ServiceTopology,
         chooser: _replicas.ReplicaChooser,
         tracker: _leafs.LeafTracker,
-        budget: _budget.ExtraLoadBudget,
+        budget: extra_load.ExtraLoadBudget,
         random_source: random.Random,
         deadline: datetime.timedelta,
         hedging: bool = True,
--- a/src/sassafrashold/search/_searcher.py
+++ b/src/sassafrashold/search/_searcher.py
@@ -10,13 +10,13 @@
 
 from sassafrashold import clock as clock_lib
 from sassafrashold import errors
+from sassafrashold import extra_load
 from sassafrashold import membership
 from sassafrashold import rpc
 from sassafrashold import settings
 from sassafrashold import table as table_lib
 from sassafrashold import telemetry
 from sassafrashold import views
-from sassafrashold.search import _budget
 from sassafrashold.search import _leafs
 from sassafrashold.search import _plan
 from sassafrashold.search import _replicas
@@ -74,7 +74,7 @@
         self.tracker = _leafs.LeafTracker(self._random)
         self._topologies = _topology.Topologies(self.tracker)
         self._owners = _topology.OwnerMap()
-        self._budget_by_service: dict[str, _budget.ExtraLoadBudget] = {}
+        self._budget_by_service: dict[str, extra_load.ExtraLoadBudget] = {}
 
     def topology(
         self, row: table_lib.ServiceRow, excluded: frozenset[str] = frozenset()
@@ -120,11 +120,11 @@
             ),
         )
 
-    def budget(self, row: table_lib.ServiceRow) -> _budget.ExtraLoadBudget:
+    def budget(self, row: table_lib.ServiceRow) -> extra_load.ExtraLoadBudget:
         """Returns the extra-load budget of a service."""
         known = self._budget_by_service.get(row.service)
         if known is None:
-            known = _budget.ExtraLoadBudget(row.hedge_percent)
+            known = extra_load.ExtraLoadBudget(row.hedge_percent)
         elif known.percent != row.hedge_percent:
             known = known.with_percent(row.hedge_percent)
         self._budget_by_service[row.service] = known
--- a/src/sassafrashold/store/__init__.py
+++ b/src/sassafrashold/store/__init__.py
@@ -4,7 +4,7 @@
 its memory budget. `sassafrashold.store.http` does.
 """
 
-from sassafrashold.store._backoff import Backoff
+from sassafrashold.backoff import Backoff
 from sassafrashold.store._gateway import GatewayStore
 from sassafrashold.store._gateway import gateway_handlers
 from sassafrashold.store._interface import MAX_VALUE_BYTES
--- a/src/sassafrashold/store/_resolve.py
+++ b/src/sassafrashold/store/_resolve.py
@@ -4,12 +4,12 @@
 from collections.abc import Callable
 import datetime
 
+from sassafrashold import backoff
 from sassafrashold import clock as clock_lib
 from sassafrashold import errors
-from sassafrashold.store import _backoff
 from sassafrashold.store import _interface
 
-_DEFAULT_BACKOFF = _backoff.Backoff(attempts=6)
+_DEFAULT_BACKOFF = backoff.Backoff(attempts=6)
 
 
 async def put_resolved(
@@ -21,7 +21,7 @@
     *,
     clock: clock_lib.Clock,
     deadline: datetime.datetime | None = None,
-    backoff: _backoff.Backoff = _DEFAULT_BACKOFF,
+    backoff: backoff.Backoff = _DEFAULT_BACKOFF,
 ) -> _interface.Stored:
     """Writes an object conditionally and resolves a lost answer.
 
--- a/src/sassafrashold/store/http.py
+++ b/src/sassafrashold/store/http.py
@@ -13,10 +13,10 @@
 import aiohttp
 import yarl
 
+from sassafrashold import backoff
 from sassafrashold import clock as clock_lib
 from sassafrashold import errors
 from sassafrashold import settings
-from sassafrashold.store import _backoff
 from sassafrashold.store import _interface
 
 _CONNECT_TIMEOUT = datetime.timedelta(milliseconds=500)
@@ -31,7 +31,7 @@
 _EMPTY_WATCH = datetime.timedelta(seconds=1)
 
 _MAX_CONNECTIONS = 64
-_READ_BACKOFF = _backoff.Backoff(attempts=3)
+_READ_BACKOFF = backoff.Backoff(attempts=3)
 
 _OK = frozenset({200, 201, 204})
 # Any other 4xx on a write means that nothing was written (protocols.md, 3.1).
--- a/src/sassafrashold/telemetry/_logs.py
+++ b/src/sassafrashold/telemetry/_logs.py
@@ -1,4 +1,4 @@
-"""JSON log lines on standard error."""
+"""JSON log lines on standard error or standard output."""
 
 import contextvars
 import logging
@@ -20,15 +20,22 @@
         return True
 
 
-def configure_logging(process: str, host: str, level: str = "INFO") -> None:
-    """Sends all records to standard error as JSON lines.
+def configure_logging(
+    process: str,
+    host: str,
+    level: str = "INFO",
+    handler: logging.Handler | None = None,
+) -> None:
+    """Writes all records as JSON lines.
 
     Args:
         process: Name of the binary.
         host: Host id of the process.
         level: Name of the lowest level that is written.
+        handler: Where lines go; standard error if None.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    if handler is None:
+        handler = logging.StreamHandler(sys.stderr)
     handler.addFilter(_TraceIdFilter())
     handler.setFormatter(
         jsonlogger.JsonFormatter(
