--- /dev/null
+++ b/src/sassafrashold/calls/tests/call_world.py
@@ -0,0 +1,142 @@
+"""A service with leafs in three zones, for tests of decisions."""
+
+import datetime
+import random
+
+from sassafrashold import calls
+from sassafrashold import directory
+from sassafrashold import routing
+from sassafrashold import settings
+
+MS = datetime.timedelta(milliseconds=1)
+ZONES = ("z1", "z2", "z3")
+
+
+def entry(service: str, zone: str, slots: int = 3) -> directory.LeafEntry:
+    """Returns a ready leaf named after its service and zone."""
+    return directory.LeafEntry(
+        ref=directory.LeafRef(f"{service}-{zone}", 1),
+        service=service,
+        address=settings.Address("10.0.0.1", 80),
+        zone=zone,
+        slots=slots,
+        draining=False,
+        cold_for=datetime.timedelta(),
+    )
+
+
+class World:
+    """State of one host and a route to `shards` services."""
+
+    def __init__(
+        self,
+        shards: int = 1,
+        *,
+        hosts: int = 1,
+        ratio: float = 0.2,
+        burst: float = 50,
+        max_connections: int = 30,
+        cold_rate: float | None = None,
+        idempotent: bool = True,
+        max_leafs: int = 2,
+        min_coverage: float = 0.89,
+        target_latency_ms: int = 100,
+    ) -> None:
+        self.services = tuple(f"s{i}" for i in range(shards))
+        self.gather = routing.Gather(self.services, 20, min_coverage)
+        self.route = routing.Route(
+            name="r",
+            host="h",
+            path_prefix="/",
+            target=self.gather,
+            idempotent=idempotent,
+            max_leafs=max_leafs,
+            timeout=1000 * MS,
+            target_latency=target_latency_ms * MS,
+            priority=1,
+        )
+        limits = routing.ServiceLimits(
+            max_connections=max_connections,
+            cold_rate=cold_rate,
+            health_path="/health",
+        )
+        table = routing.RouteTable(random.Random(1))
+        table.adopt(
+            routing.Configuration(
+                version=1,
+                routes_by_host={"h": (self.route,)},
+                limits_by_service=dict.fromkeys(self.services, limits),
+                client_limits=routing.ClientLimits(
+                    max_header_bytes=1,
+                    max_body_bytes=1,
+                    header_timeout=MS,
+                    idle_timeout=MS,
+                ),
+            )
+        )
+        self.directory = directory.LeafDirectory(
+            directory.ReleaseTimes(1000 * MS, 1000 * MS)
+        )
+        self.directory.replace_all(
+            [entry(s, z) for s in self.services for z in ZONES], 0 * MS
+        )
+        names = tuple(f"h{i}" for i in range(hosts))
+        self.state = calls.CallState(
+            "z1",
+            self.directory,
+            table,
+            calls.ShareOfLimits(
+                hosts=names,
+                own_host="h0",
+                extra_calls_ratio=ratio,
+                extra_calls_burst=burst,
+                cold_burst_factor=1.5,
+                cold_slack=5,
+            ),
+            random.Random(1),
+        )
+
+    def fund(self, tokens: int) -> None:
+        """Fills the budgets as if many requests had come before."""
+        for service in self.services:
+            self.state.budget(service).earn(
+                int(tokens / self.state.share.extra_calls_ratio) + 1
+            )
+
+    def call(self) -> calls.ServiceCall:
+        """Returns a new call to the first service."""
+        return calls.ServiceCall(self.state, self.route, self.services[0])
+
+    def learn(self, latency_ms: int = 20, count: int = 64) -> None:
+        """Records usual answers of the route."""
+        for _ in range(count):
+            self.state.latency(self.route).record(latency_ms * MS, 0 * MS)
+
+    def plan(self, answer_at_ms: int = 90, end_ms: int = 900):
+        """Returns a plan over all shards."""
+        return calls.GatherPlan(
+            self.state,
+            self.route,
+            self.gather,
+            calls.GatherTimes(answer_at_ms * MS, end_ms * MS),
+        )
+
+
+def answered(body: bytes = b"0" * 16, signature: str = "sig"):
+    """Returns a success of a leaf."""
+    return calls.Answered(
+        calls.LeafAnswer(
+            status=200,
+            headers=(),
+            body=body,
+            signature=signature,
+            not_run=False,
+            encoded=False,
+            cold_for=None,
+        )
+    )
+
+
+def failed(kind: calls.FailureKind):
+    """Returns a failed call."""
+    return calls.Failed(kind)
--- /dev/null
+++ b/src/sassafrashold/calls/tests/test_gathered_answers.py
@@ -0,0 +1,120 @@
+"""Guards against mixed, untrue, late and lost merged answers."""
+
+from hypothesis import given
+from hypothesis import strategies
+
+from sassafrashold import calls
+from sassafrashold.calls.tests import call_world
+
+MS = call_world.MS
+
+
+def _answer(plan, sends, now):
+    for send in sends:
+        plan.ended(
+            send,
+            call_world.answered(bytes([send.shard]) * 16, f"sig{send.shard}"),
+            now,
+        )
+
+
+def test_a_whole_answer_names_each_shard_once():
+    world = call_world.World(shards=3)
+    plan = world.plan()
+    sends = plan.start(0 * MS)
+    assert len(sends) == 3
+    _answer(plan, sends[:2], 10 * MS)
+    assert plan.outcome(10 * MS) is None
+    _answer(plan, sends[2:], 20 * MS)
+    outcome = plan.outcome(20 * MS)
+    assert outcome.signatures == ("sig0", "sig1", "sig2")
+    assert outcome.missing == 0
+    assert outcome.body == b"\2" * 16 + b"\1" * 16 + b"\0" * 16
+
+
+def test_the_answer_of_a_hedge_that_comes_second_is_not_taken():
+    world = call_world.World(shards=1)
+    world.fund(20)
+    plan = world.plan()
+    first = plan.start(0 * MS)[0]
+    hedge = plan.tick(80 * MS)[0]
+    plan.ended(hedge, call_world.answered(b"h" * 16, "hedge"), 85 * MS)
+    plan.ended(first, call_world.answered(b"f" * 16, "first"), 86 * MS)
+    outcome = plan.outcome(86 * MS)
+    assert outcome.signatures == ("hedge",)
+    assert outcome.body == b"h" * 16
+
+
+def test_a_late_shard_is_left_out_in_time_and_counted():
+    world = call_world.World(shards=10)
+    plan = world.plan(answer_at_ms=90)
+    sends = plan.start(0 * MS)
+    _answer(plan, sends[:9], 20 * MS)
+    assert plan.outcome(89 * MS) is None
+    assert plan.next_time(89 * MS) <= 90 * MS
+    outcome = plan.outcome(90 * MS)
+    assert outcome.enough
+    assert outcome.missing == 1
+    assert outcome.missing_services == ("s9",)
+
+
+def test_too_few_shards_wait_for_the_end():
+    world = call_world.World(shards=10)
+    plan = world.plan(answer_at_ms=90, end_ms=900)
+    sends = plan.start(0 * MS)
+    _answer(plan, sends[:8], 20 * MS)
+    assert plan.outcome(100 * MS) is None
+    _answer(plan, sends[8:9], 200 * MS)
+    assert plan.outcome(200 * MS).enough
+
+
+def test_an_answer_that_cannot_come_fails_at_once():
+    world = call_world.World(shards=10)
+    for service in ("s0", "s1"):
+        for zone in call_world.ZONES:
+            world.directory.apply(
+                call_world.directory.LeafRemoved(f"{service}-{zone}"), 0 * MS
+            )
+    plan = world.plan()
+    plan.start(2000 * MS)
+    outcome = plan.outcome(2000 * MS)
+    assert outcome is not None
+    assert not outcome.enough
+
+
+def test_a_shard_without_leafs_does_not_delay_the_others():
+    world = call_world.World(shards=10)
+    for zone in call_world.ZONES:
+        world.directory.apply(
+            call_world.directory.LeafRemoved(f"s4-{zone}"), 0 * MS
+        )
+    plan = world.plan(answer_at_ms=2090, end_ms=2900)
+    sends = plan.start(2000 * MS)
+    _answer(plan, sends, 2020 * MS)
+    outcome = plan.outcome(2020 * MS)
+    assert outcome.enough
+    assert outcome.missing_services == ("s4",)
+
+
+def test_a_failed_part_is_asked_for_elsewhere():
+    world = call_world.World(shards=1)
+    world.fund(20)
+    plan = world.plan()
+    first = plan.start(0 * MS)[0]
+    retry = plan.ended(
+        first, call_world.failed(calls.FailureKind.LOST), 5 * MS
+    )[0]
+    assert retry.leaf.ref != first.leaf.ref
+
+
+@given(strategies.lists(strategies.binary(max_size=100), max_size=6))
+def test_the_greatest_records_are_those_of_a_sort(parts):
+    records = sorted(
+        (
+            part[i : i + 16]
+            for part in parts
+            for i in range(0, len(part) // 16 * 16, 16)
+        ),
+        reverse=True,
+    )
+    assert calls.greatest_records(parts, 5) == b"".join(records[:5])
--- /dev/null
+++ b/src/sassafrashold/calls/tests/test_one_request_at_one_service.py
@@ -0,0 +1,142 @@
+"""Guards against repeated runs, unpaid calls and waits for dead leafs."""
+
+import pytest
+
+from sassafrashold import calls
+from sassafrashold.calls.tests import call_world
+
+MS = call_world.MS
+
+
+def test_the_first_call_goes_to_the_own_zone():
+    send = call_world.World().call().first(0 * MS)
+    assert send.leaf.zone == "z1"
+    assert not send.extra
+
+
+def test_a_hedge_goes_to_another_leaf_once_the_first_is_late():
+    world = call_world.World()
+    world.fund(20)
+    world.learn(20)
+    call = world.call()
+    first = call.first(0 * MS)
+    assert call.hedge(10 * MS) is None
+    hedge = call.hedge(call.next_time())
+    assert hedge.leaf.ref != first.leaf.ref
+    assert hedge.extra
+    # Two leafs are the most that this route allows.
+    assert call.hedge(500 * MS) is None
+
+
+def test_no_hedge_without_budget():
+    world = call_world.World(ratio=0.2)
+    call = world.call()
+    call.first(0 * MS)
+    for step in range(50):
+        assert call.hedge(step * 10 * MS) is None
+
+
+@pytest.mark.parametrize(
+    "kind",
+    [
+        calls.FailureKind.LOST,
+        calls.FailureKind.ERROR,
+        calls.FailureKind.TIMEOUT,
+    ],
+)
+def test_a_request_that_may_have_run_is_not_repeated_unless_idempotent(kind):
+    for idempotent in (True, False):
+        world = call_world.World(idempotent=idempotent)
+        world.fund(20)
+        call = world.call()
+        first = call.first(0 * MS)
+        retry = call.failed(first, call_world.failed(kind), 5 * MS)
+        assert (retry is not None) == idempotent
+        assert call.may_have_run
+
+
+@pytest.mark.parametrize(
+    "kind",
+    [
+        calls.FailureKind.NOT_SENT,
+        calls.FailureKind.REJECTED,
+        calls.FailureKind.WRONG_LEAF,
+    ],
+)
+def test_a_request_that_did_not_run_goes_to_another_leaf(kind):
+    world = call_world.World(idempotent=False)
+    world.fund(20)
+    call = world.call()
+    sends = [call.first(0 * MS)]
+    while sends[-1] is not None:
+        sends.append(call.failed(sends[-1], call_world.failed(kind), 5 * MS))
+    assert {s.leaf.zone for s in sends[:-1]} == set(call_world.ZONES)
+    assert not call.may_have_run
+
+
+def test_a_request_that_runs_once_is_never_hedged():
+    world = call_world.World(idempotent=False)
+    world.fund(20)
+    call = world.call()
+    call.first(0 * MS)
+    assert call.next_time() is None
+    assert call.hedge(900 * MS) is None
+
+
+def test_a_retry_after_a_failed_connect_needs_no_budget():
+    world = call_world.World()
+    call = world.call()
+    first = call.first(0 * MS)
+    retry = call.failed(
+        first, call_world.failed(calls.FailureKind.NOT_SENT), 1 * MS
+    )
+    assert retry is not None
+    assert not retry.extra
+
+
+def test_extra_calls_keep_the_bound_over_all_hosts():
+    # 8 hosts, a burst of 56 and a ratio of 0.2: in any span the sum of all
+    # extra calls is at most 0.2 of the requests plus 56.
+    extra = 0
+    requests = 0
+    for _ in range(8):
+        world = call_world.World(hosts=8, burst=56)
+        for _ in range(200):
+            call = world.call()
+            send = call.first(0 * MS)
+            requests += 1
+            retry = call.failed(
+                send, call_world.failed(calls.FailureKind.LOST), 1 * MS
+            )
+            if retry is not None:
+                extra += 1
+                call.succeeded(retry, 2 * MS)
+    assert extra <= 0.2 * requests + 56
+    assert extra >= 0.19 * requests
+
+
+def test_shares_of_a_limit_add_up_to_it():
+    names = tuple(f"h{i}" for i in range(7))
+    for total in (0, 3, 7, 31):
+        shares = [
+            calls.ShareOfLimits(
+                hosts=names,
+                own_host=name,
+                extra_calls_ratio=0.2,
+                extra_calls_burst=56,
+                cold_burst_factor=1.5,
+                cold_slack=5,
+            ).of_total(total, "leaf")
+            for name in names
+        ]
+        assert sum(shares) == total
+
+
+def test_connections_of_a_leaf_bound_its_open_calls():
+    world = call_world.World(hosts=8, max_connections=16)
+    leafs = []
+    for _ in range(7):
+        send = world.call().first(0 * MS)
+        leafs.append(send.leaf.zone if send else None)
+    assert leafs[-1] is None
+    assert all(leafs.count(zone) == 2 for zone in call_world.ZONES)
--- /dev/null
+++ b/src/sassafrashold/directory/tests/test_who_may_get_work.py
@@ -0,0 +1,111 @@
+"""Guards against work for leafs that left, and against idle healthy leafs."""
+
+import datetime
+
+from sassafrashold import directory
+from sassafrashold import settings
+
+_RELEASE = directory.ReleaseTimes(
+    draining=datetime.timedelta(seconds=2), lapsed=datetime.timedelta(seconds=2)
+)
+
+
+def _at(seconds):
+    return datetime.timedelta(seconds=seconds)
+
+
+def _entry(leaf_id, *, born=1, service="s", zone="z1", draining=False, cold=0):
+    return directory.LeafEntry(
+        ref=directory.LeafRef(leaf_id, born),
+        service=service,
+        address=settings.Address("10.0.0.1", 80),
+        zone=zone,
+        slots=3,
+        draining=draining,
+        cold_for=datetime.timedelta(seconds=cold),
+    )
+
+
+def _directory(*entries):
+    leafs = directory.LeafDirectory(_RELEASE)
+    leafs.replace_all(entries, _at(0))
+    return leafs
+
+
+def _usable(leafs, seconds, service="s"):
+    found = leafs.usable(service, _at(seconds))
+    return sorted(entry.ref.leaf_id for entry in found)
+
+
+def test_a_draining_leaf_gets_nothing_while_another_is_ready():
+    leafs = _directory(_entry("a"), _entry("b"))
+    leafs.apply(directory.LeafSeen(_entry("a", draining=True)), _at(1))
+    assert _usable(leafs, 1) == ["b"]
+
+
+def test_the_last_leaf_that_drains_serves_until_its_time_is_over():
+    leafs = _directory(_entry("a"))
+    leafs.apply(directory.LeafSeen(_entry("a", draining=True)), _at(1))
+    leafs.apply(directory.LeafSeen(_entry("a", draining=True)), _at(2))
+    leafs.apply(directory.LeafRemoved("a"), _at(2))
+    assert _usable(leafs, 2.9) == ["a"]
+    assert _usable(leafs, 3) == []
+
+
+def test_an_entry_that_goes_without_notice_is_a_last_resort():
+    leafs = _directory(_entry("a"), _entry("b"))
+    leafs.apply(directory.LeafRemoved("a"), _at(1))
+    assert _usable(leafs, 1) == ["b"]
+    leafs.apply(directory.LeafRemoved("b"), _at(2))
+    assert _usable(leafs, 2.5) == ["a", "b"]
+    assert _usable(leafs, 3.5) == ["b"]
+    ended = leafs.forget_expired(_at(5))
+    assert sorted(ref.leaf_id for ref in ended) == ["a", "b"]
+
+
+def test_entries_that_lapse_while_the_store_is_away_are_kept():
+    leafs = _directory(_entry("a"), _entry("b"))
+    leafs.set_store_away(True, _at(1))
+    leafs.replace_all([], _at(20))
+    assert _usable(leafs, 30) == ["a", "b"]
+    leafs.set_store_away(False, _at(30))
+    leafs.apply(directory.LeafSeen(_entry("a")), _at(31))
+    assert _usable(leafs, 31) == ["a"]
+    assert _usable(leafs, 33) == ["a"]
+
+
+def test_a_zone_out_of_service_gets_nothing_even_as_a_last_resort():
+    leafs = _directory(_entry("a", zone="z1"), _entry("b", zone="z2"))
+    leafs.set_zones_out({"z1"})
+    assert _usable(leafs, 1) == ["b"]
+    leafs.apply(directory.LeafRemoved("b"), _at(1))
+    leafs.set_zones_out({"z1", "z2"})
+    assert _usable(leafs, 1) == []
+    leafs.set_zones_out(())
+    assert _usable(leafs, 1) == ["a"]
+
+
+def test_a_leaf_that_starts_again_under_its_id_is_another_incarnation():
+    leafs = _directory(_entry("a", born=5))
+    leafs.apply(directory.LeafSeen(_entry("a", born=5, draining=True)), _at(1))
+    ended = leafs.apply(directory.LeafSeen(_entry("a", born=9)), _at(2))
+    assert ended == [directory.LeafRef("a", 5)]
+    assert _usable(leafs, 2) == ["a"]
+    # An entry of the earlier start that arrives late changes nothing.
+    leafs.apply(directory.LeafSeen(_entry("a", born=5, draining=True)), _at(3))
+    assert _usable(leafs, 9) == ["a"]
+
+
+def test_an_id_that_moves_to_another_service_leaves_the_first():
+    leafs = _directory(_entry("a", born=5))
+    leafs.apply(directory.LeafSeen(_entry("a", born=9, service="t")), _at(1))
+    assert _usable(leafs, 1, "s") == []
+    assert _usable(leafs, 1, "t") == ["a"]
+
+
+def test_a_cold_leaf_is_cold_for_the_time_it_states():
+    leafs = _directory(_entry("a", cold=3))
+    assert leafs.is_cold("a", _at(2.9))
+    assert not leafs.is_cold("a", _at(3))
+    leafs.note_cold("a", _at(2), _at(10))
+    assert leafs.is_cold("a", _at(11.9))
--- a/src/sassafrashold/platform/documents.py
+++ b/src/sassafrashold/platform/documents.py
@@ -76,8 +76,8 @@
     except ValueError as error:
         raise documents.invalid(key, f"address: {error}") from error
     born = spec.get("born", 0)
-    if isinstance(born, bool) or not isinstance(born, int):
-        raise documents.invalid(key, "born: expected int")
+    if isinstance(born, bool) or not isinstance(born, int) or born < 0:
+        raise documents.invalid(key, "born: expected an int from 0 on")
     slots = documents.get(key, spec, "slots", int)
     if slots < 1:
         raise documents.invalid(key, "slots: expected 1 or more")
--- /dev/null
+++ b/src/sassafrashold/platform/tests/test_decoding.py
@@ -0,0 +1,227 @@
+"""Guards against settings, entries and messages that are misread."""
+
+import datetime
+import json
+
+import pytest
+
+from sassafrashold import calls
+from sassafrashold import directory
+from sassafrashold import errors
+from sassafrashold import routing
+from sassafrashold import settings
+from sassafrashold.platform import boot
+from sassafrashold.platform import documents
+from sassafrashold.platform import wire
+
+_BOOT = """\
+node_name=h1
+zone=z1
+ip=10.1.0.39
+listen.front=10.1.0.39:8226
+listen.ready=10.1.0.39:8227
+listen.control=10.1.0.39:8224
+seeds=10.1.0.39:8224,10.2.0.33:8224
+bounds.drain_ms=3000
+bounds.grace_s=6
+bounds.retry_budget_ratio=0.2
+bounds.retry_budget_burst=56
+bounds.cold_burst_factor=1.5
+bounds.cold_slack=5
+platform.address=10.200.1.7:8229
+a.field.of.tomorrow=1
+"""
+
+_ROUTE = {
+    "name": "r",
+    "host": "A.example",
+    "path_prefix": "/a/",
+    "type": "idempotent",
+    "timeout_ms": 600,
+    "target_latency_ms": 68,
+    "priority": 2,
+    "service": "s",
+    "attempts": 2,
+}
+_CONFIGURATION = {
+    "version": 7,
+    "routes": [_ROUTE],
+    "services": [
+        {
+            "name": "s",
+            "health_path": "/health",
+            "max_connections": 31,
+            "cold_per_s": 0.0,
+        }
+    ],
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 262144,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    },
+}
+_LEAF = {
+    "service": "s",
+    "address": "10.128.0.9:8080",
+    "zone": "z1",
+    "version": "v1",
+    "slots": 3,
+    "state": "ready",
+    "cold_remaining_ms": 1500,
+    "sequence": 4,
+    "born": 1790000000000,
+}
+
+
+def test_settings_are_read_and_unknown_fields_ignored():
+    values = boot.parse(_BOOT)
+    assert values.clients == settings.Address("10.1.0.39", 8226)
+    assert values.bounds.drain == datetime.timedelta(seconds=3)
+    assert len(values.seeds) == 2
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "field"),
+    [
+        ("bounds.drain_ms=3000", "bounds.drain_ms=soon", "bounds.drain_ms"),
+        ("bounds.grace_s=6", "bounds.grace_s=-1", "bounds.grace_s"),
+        ("node_name=h1", "", "node_name"),
+        ("zone=z1", "zone", "line 2"),
+        ("10.1.0.39:8226", "10.1.0.39", "listen.front"),
+        ("10.2.0.33:8224", "x:1", "seeds"),
+    ],
+)
+def test_a_wrong_setting_is_named(old, new, field):
+    with pytest.raises(errors.SettingsError) as caught:
+        boot.parse(_BOOT.replace(old, new))
+    assert caught.value.field == field
+    assert "expected" in caught.value.message
+
+
+def test_a_configuration_is_decoded():
+    gather = {
+        **_ROUTE,
+        "name": "g",
+        "path_prefix": "/a/b/",
+        "gather": ["s", "t"],
+        "top_k": 5,
+        "min_shard_fraction": 0.75,
+    }
+    del gather["service"]
+    split = {
+        **_ROUTE,
+        "name": "w",
+        "type": "non_idempotent",
+        "path_prefix": "/c/",
+        "traffic_split": [
+            {"service": "s", "weight": 9},
+            {"service": "t", "weight": 1},
+        ],
+    }
+    del split["service"]
+    value = documents.configuration(
+        "config/main", {**_CONFIGURATION, "routes": [_ROUTE, gather, split]}
+    )
+    routes = value.routes_by_host["a.example"]
+    assert [r.name for r in routes] == ["g", "r", "w"]
+    assert routes[0].target == routing.Gather(("s", "t"), 5, 0.75)
+    assert not routes[2].idempotent
+    assert value.limits_by_service["s"].cold_rate is None
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"routes": None},
+        {"routes": [{**_ROUTE, "type": "sometimes"}]},
+        {"routes": [{**_ROUTE, "service": ""}]},
+        {"routes": [{**_ROUTE, "gather": ["s"]}]},
+        {"routes": [_ROUTE, _ROUTE]},
+        {"services": _CONFIGURATION["services"] * 2},
+        {"version": "7"},
+        {"limits": {}},
+    ],
+)
+def test_a_configuration_that_is_wrong_in_part_is_not_used(change):
+    with pytest.raises(errors.DocumentError):
+        documents.configuration("config/main", {**_CONFIGURATION, **change})
+
+
+def test_a_leaf_entry_is_decoded():
+    entry = documents.leaf_entry("servers/i-1", "i-1", _LEAF)
+    assert entry.ref == directory.LeafRef("i-1", 1790000000000)
+    assert entry.cold_for == datetime.timedelta(seconds=1.5)
+
+
+@pytest.mark.parametrize("name", sorted(set(_LEAF) - {"version", "sequence"}))
+@pytest.mark.parametrize("value", [None, [], "?", -1, True])
+def test_a_foreign_leaf_entry_is_refused(name, value):
+    text_fields = {"service", "zone"}
+    if name in text_fields and isinstance(value, str):
+        return
+    with pytest.raises(errors.DocumentError):
+        documents.leaf_entry("servers/i-1", "i-1", {**_LEAF, name: value})
+
+
+@pytest.mark.parametrize("spec", [None, 3, "x", [], {}])
+def test_a_leaf_entry_of_another_type_is_refused(spec):
+    with pytest.raises(errors.DocumentError):
+        documents.leaf_entry("servers/i-1", "i-1", spec)
+
+
+def test_a_request_is_forwarded_unchanged_but_for_its_own_headers():
+    request = wire.client_request(
+        "POST",
+        "/a%2Fb?x=1",
+        [
+            (b"Host", b"h"),
+            (b"Request-Id", b"id-1"),
+            (b"Deadline-Ms", b"600"),
+            (b"Connection", b"keep-alive, X-Hop"),
+            (b"X-Hop", b"1"),
+            (b"Transfer-Encoding", b"chunked"),
+            (b"Expect-Instance", b"i-9"),
+            (b"X-Own", b"2"),
+        ],
+        b"body",
+    )
+    assert request.time_left == datetime.timedelta(milliseconds=600)
+    leaf = documents.leaf_entry("servers/i-1", "i-1", _LEAF)
+    sent = wire.leaf_request(
+        request, leaf, datetime.timedelta(milliseconds=550)
+    )
+    assert sent == (
+        b"POST /a%2Fb?x=1 HTTP/1.1\r\nHost: h\r\nRequest-Id: id-1\r\n"
+        b"X-Own: 2\r\nDeadline-Ms: 550\r\nExpect-Instance: i-1\r\n"
+        b"Content-Length: 4\r\n\r\nbody"
+    )
+
+
+@pytest.mark.parametrize("text", [b"", b"x", b"-5", b"nan", b"1e400"])
+def test_an_unreadable_deadline_is_none(text):
+    request = wire.client_request("GET", "/", [(b"Deadline-Ms", text)], b"")
+    assert request.time_left is None
+
+
+def test_a_success_needs_a_signature_and_the_own_bytes():
+    signed = (b"Server-Stamp", b"sig")
+    cases = [
+        (200, [signed], calls.Answered),
+        (200, [], calls.FailureKind.LOST),
+        (200, [signed, (b"Content-Encoding", b"gzip")], calls.FailureKind.LOST),
+        (500, [signed], calls.FailureKind.ERROR),
+        (503, [(b"Not-Executed", b"1")], calls.FailureKind.REJECTED),
+        (421, [], calls.FailureKind.WRONG_LEAF),
+    ]
+    for status, headers, expected in cases:
+        result = wire.leaf_answer(status, headers, b"")
+        if expected is calls.Answered:
+            assert isinstance(result, calls.Answered)
+        else:
+            assert result.kind is expected, (status, headers)
+
+
+def test_documents_survive_json():
+    text = json.dumps(_CONFIGURATION)
+    assert documents.configuration("k", json.loads(text)).version == 7
