Read all topics anew when one has lost its history

Two hosts refused with 404. Ruled out: a host cut from the store (both were in touch), a dead connection (keep-alive probes would have ended it within 3 s). Change: a topic without history makes all topics read anew; a cheap stale call each second asks for newer configurations and shows outages sooner. Tests of whole processes on stand-ins of the platform's store and leafs.

--- a/src/sassafrashold/calls/tests/call_world.py
+++ b/src/sassafrashold/calls/tests/call_world.py
@@ -2,12 +2,14 @@
 
 import datetime
 import random
+from typing import TypeVar
 
 from sassafrashold import calls
 from sassafrashold import directory
 from sassafrashold import routing
 from sassafrashold import settings
 
+_ValueT = TypeVar("_ValueT")
 MS = datetime.timedelta(milliseconds=1)
 ZONES = ("z1", "z2", "z3")
 
@@ -122,6 +124,12 @@
         )
 
 
+def must(value: _ValueT | None) -> _ValueT:
+    """Returns a value that has to be there."""
+    assert value is not None
+    return value
+
+
 def answered(body: bytes = b"0" * 16, signature: str = "sig"):
     """Returns a success of a leaf."""
     return calls.Answered(
--- a/src/sassafrashold/calls/tests/test_gathered_answers.py
+++ b/src/sassafrashold/calls/tests/test_gathered_answers.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies
 
 from sassafrashold import calls
+from sassafrashold import directory
 from sassafrashold.calls.tests import call_world
 
 MS = call_world.MS
@@ -73,7 +74,7 @@
     for service in ("s0", "s1"):
         for zone in call_world.ZONES:
             world.directory.apply(
-                call_world.directory.LeafRemoved(f"{service}-{zone}"), 0 * MS
+                directory.LeafRemoved(f"{service}-{zone}"), 0 * MS
             )
     plan = world.plan()
     plan.start(2000 * MS)
@@ -85,9 +86,7 @@
 def test_a_shard_without_leafs_does_not_delay_the_others():
     world = call_world.World(shards=10)
     for zone in call_world.ZONES:
-        world.directory.apply(
-            call_world.directory.LeafRemoved(f"s4-{zone}"), 0 * MS
-        )
+        world.directory.apply(directory.LeafRemoved(f"s4-{zone}"), 0 * MS)
     plan = world.plan(answer_at_ms=2090, end_ms=2900)
     sends = plan.start(2000 * MS)
     _answer(plan, sends, 2020 * MS)
--- a/src/sassafrashold/calls/tests/test_one_request_at_one_service.py
+++ b/src/sassafrashold/calls/tests/test_one_request_at_one_service.py
@@ -6,10 +6,11 @@
 from sassafrashold.calls.tests import call_world
 
 MS = call_world.MS
+must = call_world.must
 
 
 def test_the_first_call_goes_to_the_own_zone():
-    send = call_world.World().call().first(0 * MS)
+    send = must(call_world.World().call().first(0 * MS))
     assert send.leaf.zone == "z1"
     assert not send.extra
 
@@ -19,9 +20,9 @@
     world.fund(20)
     world.learn(20)
     call = world.call()
-    first = call.first(0 * MS)
+    first = must(call.first(0 * MS))
     assert call.hedge(10 * MS) is None
-    hedge = call.hedge(call.next_time())
+    hedge = must(call.hedge(must(call.next_time())))
     assert hedge.leaf.ref != first.leaf.ref
     assert hedge.extra
     # Two leafs are the most that this route allows.
@@ -49,7 +50,7 @@
         world = call_world.World(idempotent=idempotent)
         world.fund(20)
         call = world.call()
-        first = call.first(0 * MS)
+        first = must(call.first(0 * MS))
         retry = call.failed(first, call_world.failed(kind), 5 * MS)
         assert (retry is not None) == idempotent
         assert call.may_have_run
@@ -67,10 +68,11 @@
     world = call_world.World(idempotent=False)
     world.fund(20)
     call = world.call()
-    sends = [call.first(0 * MS)]
-    while sends[-1] is not None:
-        sends.append(call.failed(sends[-1], call_world.failed(kind), 5 * MS))
-    assert {s.leaf.zone for s in sends[:-1]} == set(call_world.ZONES)
+    sends = [must(call.first(0 * MS))]
+    failure = call_world.failed(kind)
+    while (retry := call.failed(sends[-1], failure, 5 * MS)) is not None:
+        sends.append(retry)
+    assert {s.leaf.zone for s in sends} == set(call_world.ZONES)
     assert not call.may_have_run
 
 
@@ -86,7 +88,7 @@
 def test_a_retry_after_a_failed_connect_needs_no_budget():
     world = call_world.World()
     call = world.call()
-    first = call.first(0 * MS)
+    first = must(call.first(0 * MS))
     retry = call.failed(
         first, call_world.failed(calls.FailureKind.NOT_SENT), 1 * MS
     )
@@ -103,7 +105,7 @@
         world = call_world.World(hosts=8, burst=56)
         for _ in range(200):
             call = world.call()
-            send = call.first(0 * MS)
+            send = must(call.first(0 * MS))
             requests += 1
             retry = call.failed(
                 send, call_world.failed(calls.FailureKind.LOST), 1 * MS
--- a/src/sassafrashold/front/__init__.py
+++ b/src/sassafrashold/front/__init__.py
@@ -7,6 +7,7 @@
 from sassafrashold.front._daemon import Daemon
 from sassafrashold.front._daemon import Topics
 from sassafrashold.front._interfaces import HostRegistry
+from sassafrashold.front._interfaces import PeekableTopic
 from sassafrashold.front._interfaces import Protocol
 from sassafrashold.front._interfaces import Snapshot
 from sassafrashold.front._interfaces import Topic
@@ -17,6 +18,7 @@
     "Daemon",
     "FrontSettings",
     "HostRegistry",
+    "PeekableTopic",
     "Protocol",
     "Snapshot",
     "Topic",
--- a/src/sassafrashold/front/_daemon.py
+++ b/src/sassafrashold/front/_daemon.py
@@ -12,6 +12,7 @@
 from sassafrashold import calls
 from sassafrashold import clock as clock_lib
 from sassafrashold import directory as directory_lib
+from sassafrashold import errors
 from sassafrashold import routing
 from sassafrashold.front import _follower
 from sassafrashold.front import _interfaces
@@ -97,20 +98,24 @@
             self._log,
             clock,
         )
-        self._health = _follower.StoreHealth(registry, self._store_changed)
+        self._health = _follower.StoreHealth(self._probe, self._store_changed)
+        self._configuration_topic = topics.configuration
+        self._configuration = _follower.Follower(
+            topics.configuration,
+            self._health,
+            self._adopt,
+            self._adopt,
+            self._read_all,
+            _CONFIGURATION_PAUSE,
+        )
         self._followers = (
-            _follower.Follower(
-                topics.configuration,
-                self._health,
-                self._adopt,
-                self._adopt,
-                _CONFIGURATION_PAUSE,
-            ),
+            self._configuration,
             _follower.Follower(
                 topics.leafs,
                 self._health,
                 self._list_leafs,
                 self._change_leafs,
+                self._read_all,
                 _LEAF_PAUSE,
             ),
             _follower.Follower(
@@ -118,6 +123,7 @@
                 self._health,
                 self._list_zones_out,
                 self._change_zones_out,
+                self._read_all,
                 _CONFIGURATION_PAUSE,
             ),
         )
@@ -222,7 +228,26 @@
         self._directory.set_store_away(away, self._clock.monotonic())
         if not away:
             for follower in self._followers:
-                follower.restart_call()
+                follower.restart(read_all=False)
+
+    async def _probe(self) -> None:
+        """Makes a cheap call, which may find a version or a lost history."""
+        revision = self._configuration.revision
+        if revision is None:
+            return
+        try:
+            found = await self._configuration_topic.peek(revision)
+        except errors.HistoryGoneError:
+            if revision == self._configuration.revision:
+                self._read_all()
+            return
+        self._adopt(found.items)
+
+    def _read_all(self) -> None:
+        """Reads all topics anew, as changes may have been missed."""
+        _LOGGER.info("reading all of the store")
+        for follower in self._followers:
+            follower.restart(read_all=True)
 
     def _adopt(self, versions: tuple[routing.Configuration, ...]) -> None:
         for configuration in versions:
@@ -359,7 +384,7 @@
 
     def __init__(
         self,
-        configuration: _interfaces.Topic[routing.Configuration],
+        configuration: _interfaces.PeekableTopic[routing.Configuration],
         leafs: _interfaces.Topic[directory_lib.LeafChange],
         zones_out: _interfaces.Topic[_interfaces.ZoneChange],
     ) -> None:
--- a/src/sassafrashold/front/_follower.py
+++ b/src/sassafrashold/front/_follower.py
@@ -1,6 +1,7 @@
 """Follows the store: configuration, leafs and zones out of service."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 import datetime
 import logging
@@ -15,8 +16,9 @@
 _ItemT = TypeVar("_ItemT")
 # Every call has a price, so a waiting one lasts nearly as long as is allowed.
 _WATCH_WAIT = datetime.timedelta(seconds=25)
-# Calls that come seconds old cost a tenth; one that fails shows an outage.
-_PROBE_INTERVAL = datetime.timedelta(seconds=2)
+# Calls that may come seconds old cost a tenth. One that fails shows an outage,
+# one that finds no history shows that waiting calls hear nothing.
+_PROBE_INTERVAL = datetime.timedelta(seconds=1)
 _AWAY_PROBE_INTERVAL = datetime.timedelta(milliseconds=700)
 _BACKOFF = backoff.Backoff(
     base=datetime.timedelta(milliseconds=200),
@@ -30,21 +32,21 @@
 
     def __init__(
         self,
-        registry: _interfaces.HostRegistry,
+        probe: Callable[[], Awaitable[None]],
         on_change: Callable[[bool], None],
     ) -> None:
         """Initializes the task.
 
         Args:
-            registry: Makes the cheap calls.
+            probe: Makes a cheap call; raises StoreError while the store is
+                away.
             on_change: Called with True when the store is lost and False when
                 it is back.
         """
-        self._registry = registry
+        self._probe = probe
         self._on_change = on_change
         self._back = asyncio.Event()
         self._back.set()
-        self.losses = 0
 
     @property
     def is_away(self) -> bool:
@@ -57,7 +59,7 @@
             interval = _AWAY_PROBE_INTERVAL if self.is_away else _PROBE_INTERVAL
             await asyncio.sleep(interval.total_seconds())
             try:
-                await self._registry.probe()
+                await self._probe()
             except errors.StoreError as error:
                 self.note_lost(error)
             else:
@@ -72,7 +74,6 @@
         if self.is_away:
             return
         self._back.clear()
-        self.losses += 1
         _LOGGER.warning("store lost", extra={"cause": error.message})
         self._on_change(True)
 
@@ -93,6 +94,7 @@
         health: StoreHealth,
         on_snapshot: Callable[[tuple[_ItemT, ...]], None],
         on_changes: Callable[[tuple[_ItemT, ...]], None],
+        on_history_gone: Callable[[], None],
         pause: datetime.timedelta,
     ) -> None:
         """Initializes the task.
@@ -102,6 +104,8 @@
             health: Knows when the store is away.
             on_snapshot: Gets all items.
             on_changes: Gets changes in order.
+            on_history_gone: Called when changes may have been missed; other
+                topics may have missed some too.
             pause: Time between two calls, so that changes that come together
                 are read together.
         """
@@ -109,12 +113,19 @@
         self._health = health
         self._on_snapshot = on_snapshot
         self._on_changes = on_changes
+        self._on_history_gone = on_history_gone
         self._pause = pause
-        self._revision: int | None = None
         self._call: asyncio.Task[None] | None = None
+        self.revision: int | None = None
 
-    def restart_call(self) -> None:
-        """Ends a waiting call; one made while the store was away may hang."""
+    def restart(self, *, read_all: bool) -> None:
+        """Ends a waiting call, which may never hear anything.
+
+        Args:
+            read_all: Whether changes may have been missed.
+        """
+        if read_all:
+            self.revision = None
         if self._call is not None:
             self._call.cancel()
 
@@ -135,10 +146,12 @@
                     "store has dropped its history; reading all",
                     extra={
                         "topic": self._topic.name,
-                        "revision": self._revision,
+                        "revision": self.revision,
                     },
                 )
-                self._revision = None
+                self._call = None
+                self.revision = None
+                self._on_history_gone()
             except errors.StoreError as error:
                 failures += 1
                 await asyncio.sleep(_BACKOFF.delay(failures).total_seconds())
@@ -150,13 +163,13 @@
                 failures = 0
 
     async def _step(self) -> None:
-        if self._revision is None:
+        if self.revision is None:
             found = await self._topic.snapshot()
-            self._revision = found.revision
+            self.revision = found.revision
             self._on_snapshot(found.items)
             return
-        found = await self._topic.changes(self._revision, _WATCH_WAIT)
-        self._revision = max(found.revision, self._revision)
+        found = await self._topic.changes(self.revision, _WATCH_WAIT)
+        self.revision = max(found.revision, self.revision)
         if found.items:
             self._on_changes(found.items)
         await asyncio.sleep(self._pause.total_seconds())
--- a/src/sassafrashold/front/_interfaces.py
+++ b/src/sassafrashold/front/_interfaces.py
@@ -61,6 +61,19 @@
         ...
 
 
+class PeekableTopic(Topic[_ItemT_co], typing.Protocol[_ItemT_co]):
+    """A topic whose changes can also be asked for at a low price."""
+
+    async def peek(self, revision: int) -> Snapshot[_ItemT_co]:
+        """Returns changes since a revision at once; may be seconds old.
+
+        Raises:
+            HistoryGoneError: Changes since then are no longer kept.
+            StoreError: The store refused or did not answer.
+        """
+        ...
+
+
 class HostRegistry(typing.Protocol):
     """The hosts of the system, as they have written themselves down."""
 
@@ -76,10 +89,6 @@
         """Returns a number by host that changes while the host is alive."""
         ...
 
-    async def probe(self) -> None:
-        """Makes a cheap call that fails while the store is away."""
-        ...
-
 
 RawHeaders = Sequence[tuple[bytes, bytes]]
 
--- /dev/null
+++ b/src/sassafrashold/front/tests/test_changes_are_not_missed.py
@@ -0,0 +1,90 @@
+"""The pattern of a store that drops its history while calls wait.
+
+Guards against a host that keeps an old configuration because the call that
+waits for changes hears nothing, as on a day on which a version was written in
+the second before the history was dropped and the waiting call was not cut.
+"""
+
+import asyncio
+import datetime
+
+from sassafrashold import errors
+from sassafrashold import front
+from sassafrashold.front import _follower
+
+
+class _Topic:
+    """A topic whose waiting calls hear nothing once they are deaf."""
+
+    def __init__(self, name):
+        self.name = name
+        self.value = 1
+        self.deaf = False
+        self.gone = asyncio.Event()
+        self.reads = 0
+
+    async def snapshot(self):
+        self.reads += 1
+        return front.Snapshot((self.value,), self.value)
+
+    async def changes(self, revision, wait):
+        if self.deaf:
+            await asyncio.sleep(wait.total_seconds())
+        await self.gone.wait()
+        self.gone.clear()
+        raise errors.HistoryGoneError(self.name)
+
+
+async def test_a_topic_without_history_makes_all_topics_read_anew():
+    topics = [_Topic("a"), _Topic("b")]
+    topics[1].deaf = True
+    seen: dict[str, list[int]] = {"a": [], "b": []}
+    followers: list[_follower.Follower[int]] = []
+
+    def read_all():
+        for follower in followers:
+            follower.restart(read_all=True)
+
+    async def probe():
+        pass
+
+    health = _follower.StoreHealth(probe, lambda _: None)
+    followers.extend(
+        _follower.Follower(
+            topic,
+            health,
+            seen[topic.name].extend,
+            seen[topic.name].extend,
+            read_all,
+            datetime.timedelta(),
+        )
+        for topic in topics
+    )
+    tasks = [asyncio.create_task(f.run()) for f in followers]
+    await asyncio.sleep(0.02)
+    topics[1].value = 7
+    topics[0].gone.set()
+    await asyncio.sleep(0.05)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    assert seen["b"] == [1, 7]
+    assert topics[0].reads <= 3
+
+
+async def test_a_lost_store_is_noticed_and_its_return_too():
+    answers = [errors.StoreError(errors.ErrorCode.STORE_UNAVAILABLE, "x"), None]
+    changes: list[bool] = []
+
+    async def probe():
+        answer = answers.pop(0) if answers else None
+        if answer is not None:
+            raise answer
+
+    health = _follower.StoreHealth(probe, changes.append)
+    task = asyncio.create_task(health.run())
+    async with asyncio.timeout(5):
+        while changes != [True, False]:  # noqa: ASYNC110
+            await asyncio.sleep(0.05)
+    task.cancel()
+    assert not health.is_away
--- a/src/sassafrashold/platform/store_client.py
+++ b/src/sassafrashold/platform/store_client.py
@@ -101,7 +101,12 @@
             query = {**query, "after": objects[-1].name}
 
     async def watch(
-        self, kind: str, revision: int, wait: datetime.timedelta
+        self,
+        kind: str,
+        revision: int,
+        wait: datetime.timedelta,
+        *,
+        stale: bool = False,
     ) -> ObjectList:
         """Waits for changes of a kind.
 
@@ -109,12 +114,16 @@
             kind: Kind of the objects.
             revision: Revision up to which changes are known.
             wait: How long the store holds the call without a change.
+            stale: Whether the answer may be seconds old; such calls cost a
+                tenth and are not limited.
 
         Raises:
             HistoryGoneError: The store no longer has these changes.
             StoreError: UNAVAILABLE if the store refused or did not answer.
         """
         query = {"watch": str(revision), "wait_ms": str(clock_lib.to_ms(wait))}
+        if stale:
+            query["serializable"] = "1"
         body = await self._call("GET", kind, query, wait + _WATCH_SLACK)
         objects = []
         for event in _field(body, "events", list):
--- a/src/sassafrashold/platform/tests/test_decoding.py
+++ b/src/sassafrashold/platform/tests/test_decoding.py
@@ -43,17 +43,16 @@
     "service": "s",
     "attempts": 2,
 }
+_SERVICE = {
+    "name": "s",
+    "health_path": "/health",
+    "max_connections": 31,
+    "cold_per_s": 0.0,
+}
 _CONFIGURATION = {
     "version": 7,
     "routes": [_ROUTE],
-    "services": [
-        {
-            "name": "s",
-            "health_path": "/health",
-            "max_connections": 31,
-            "cold_per_s": 0.0,
-        }
-    ],
+    "services": [_SERVICE],
     "limits": {
         "max_header_bytes": 16384,
         "max_body_bytes": 262144,
@@ -138,7 +137,7 @@
         {"routes": [{**_ROUTE, "service": ""}]},
         {"routes": [{**_ROUTE, "gather": ["s"]}]},
         {"routes": [_ROUTE, _ROUTE]},
-        {"services": _CONFIGURATION["services"] * 2},
+        {"services": [_SERVICE, _SERVICE]},
         {"version": "7"},
         {"limits": {}},
     ],
@@ -219,6 +218,7 @@
         if expected is calls.Answered:
             assert isinstance(result, calls.Answered)
         else:
+            assert isinstance(result, calls.Failed)
             assert result.kind is expected, (status, headers)
 
 
--- a/src/sassafrashold/platform/topics.py
+++ b/src/sassafrashold/platform/topics.py
@@ -17,6 +17,7 @@
 _LEAFS = "servers"
 _ZONES_OUT = "evacuations"
 _HOSTS = "sassafras-hosts"
+_AT_ONCE = datetime.timedelta()
 
 
 class ConfigurationTopic:
@@ -39,6 +40,16 @@
             await self._client.watch(_CONFIGURATION, revision, wait)
         )
 
+    async def peek(
+        self, revision: int
+    ) -> front.Snapshot[routing.Configuration]:
+        """Returns versions written since a revision; may be seconds old."""
+        return self._decode(
+            await self._client.watch(
+                _CONFIGURATION, revision, _AT_ONCE, stale=True
+            )
+        )
+
     def _decode(
         self, found: store_client.ObjectList
     ) -> front.Snapshot[routing.Configuration]:
@@ -153,10 +164,6 @@
             beat_by_host[item.name] = beat
         return beat_by_host
 
-    async def probe(self) -> None:
-        """Makes a cheap call that shows whether the store answers."""
-        await self._client.list(_ZONES_OUT, stale=True)
-
 
 def _beat(spec: Any) -> int | None:
     beat = spec.get("beat") if isinstance(spec, dict) else None
--- a/src/sassafrashold/routing/tests/test_routes_and_versions.py
+++ b/src/sassafrashold/routing/tests/test_routes_and_versions.py
@@ -59,7 +59,9 @@
     assert not table.adopt(_configuration(7, _route("y", "/a/")))
     assert table.current is not None
     assert table.current.version == 7
-    assert table.match("a.example", "/a/").name == "x"
+    route = table.match("a.example", "/a/")
+    assert route is not None
+    assert route.name == "x"
 
 
 def test_a_split_keeps_its_weights_in_every_hundred_requests():
--- /dev/null
+++ b/src/sassafrashold/standins/objects_store.py
@@ -0,0 +1,190 @@
+"""Stand-in of the users' store: objects with revisions, lists and watches."""
+
+import asyncio
+import collections
+import dataclasses
+import json
+from typing import Any
+
+from aiohttp import web
+
+_PAGE = 50
+
+
+@dataclasses.dataclass(frozen=True)
+class _Change:
+    revision: int
+    kind: str
+    document: dict[str, Any]
+    deleted: bool
+
+
+class ObjectsStore:
+    """Keeps objects in memory and speaks the store's protocol.
+
+    Faults are set by the owner of the stand-in: `away` answers every call
+    with 503, `silent` answers none, `forget_history` drops old changes.
+    """
+
+    def __init__(self) -> None:
+        self.away = False
+        self.silent = False
+        self.count_by_call: collections.Counter[str] = collections.Counter()
+        self._revision = 1
+        self._oldest = 1
+        self._object_by_key: dict[tuple[str, str], dict[str, Any]] = {}
+        self._changes: list[_Change] = []
+        self._changed = asyncio.Condition()
+
+    def application(self) -> web.Application:
+        """Returns the HTTP application."""
+        application = web.Application()
+        application.add_routes(
+            [
+                web.get("/objects/{kind}", self._list),
+                web.post("/objects/{kind}", self._create),
+                web.get("/objects/{kind}/{name}", self._get),
+                web.put("/objects/{kind}/{name}", self._replace),
+                web.delete("/objects/{kind}/{name}", self._delete),
+            ]
+        )
+        application.middlewares.append(self._inject_faults)
+        return application
+
+    async def put(self, kind: str, name: str, spec: Any) -> int:
+        """Writes an object, as operators and leafs do.
+
+        Returns:
+            The new revision.
+        """
+        known = self._object_by_key.get((kind, name))
+        if known is not None and known["spec"] == spec:
+            return self._revision
+        self._revision += 1
+        document = {
+            "meta": {
+                "name": name,
+                "revision": self._revision,
+                "created": self._revision,
+                "finalizers": [],
+                "deleting": False,
+            },
+            "spec": spec,
+            "status": None,
+        }
+        self._object_by_key[kind, name] = document
+        await self._note(kind, document, deleted=False)
+        return self._revision
+
+    async def remove(self, kind: str, name: str) -> None:
+        """Removes an object, if it is there."""
+        document = self._object_by_key.pop((kind, name), None)
+        if document is not None:
+            self._revision += 1
+            await self._note(kind, document, deleted=True)
+
+    async def forget_history(self) -> None:
+        """Drops all changes and cuts the watches that wait."""
+        self._revision += 1
+        self._oldest = self._revision
+        self._changes.clear()
+        async with self._changed:
+            self._changed.notify_all()
+
+    async def _note(
+        self, kind: str, document: dict[str, Any], deleted: bool
+    ) -> None:
+        self._changes.append(_Change(self._revision, kind, document, deleted))
+        async with self._changed:
+            self._changed.notify_all()
+
+    @web.middleware
+    async def _inject_faults(
+        self, request: web.Request, handler: Any
+    ) -> web.StreamResponse:
+        stale = "serializable" in request.query
+        self.count_by_call[f"{request.method}{' stale' if stale else ''}"] += 1
+        while self.silent:  # noqa: ASYNC110 - the owner sets a plain flag
+            await asyncio.sleep(0.05)
+        if self.away:
+            return web.Response(status=503)
+        response: web.StreamResponse = await handler(request)
+        return response
+
+    async def _list(self, request: web.Request) -> web.Response:
+        kind = request.match_info["kind"]
+        if "watch" in request.query:
+            return await self._watch(request, kind)
+        after = request.query.get("after", "")
+        names = sorted(
+            name
+            for k, name in self._object_by_key
+            if k == kind and name > after
+        )
+        page = names[:_PAGE]
+        return web.json_response(
+            {
+                "items": [self._object_by_key[kind, name] for name in page],
+                "more": len(names) > _PAGE,
+                "as_of": self._revision,
+            }
+        )
+
+    async def _watch(self, request: web.Request, kind: str) -> web.Response:
+        since = int(request.query["watch"])
+        wait_s = int(request.query.get("wait_ms", 0)) / 1000
+        try:
+            async with asyncio.timeout(wait_s), self._changed:
+                while since >= self._oldest and not self._since(kind, since):
+                    await self._changed.wait()
+        except TimeoutError:
+            return web.json_response({"events": [], "as_of": self._revision})
+        if since < self._oldest:
+            return web.json_response({"error": "gone"}, status=410)
+        return web.json_response(
+            {
+                "events": [
+                    {"object": c.document, "deleted": c.deleted}
+                    for c in self._since(kind, since)
+                ],
+                "as_of": self._revision,
+            }
+        )
+
+    def _since(self, kind: str, revision: int) -> list[_Change]:
+        return [
+            change
+            for change in self._changes
+            if change.kind == kind and change.revision > revision
+        ]
+
+    async def _create(self, request: web.Request) -> web.Response:
+        kind = request.match_info["kind"]
+        body = json.loads(await request.read())
+        name = body["meta"]["name"]
+        known = self._object_by_key.get((kind, name))
+        if known is not None:
+            return web.json_response(known, status=409)
+        await self.put(kind, name, body.get("spec"))
+        return web.json_response(self._object_by_key[kind, name], status=201)
+
+    async def _get(self, request: web.Request) -> web.Response:
+        key = (request.match_info["kind"], request.match_info["name"])
+        document = self._object_by_key.get(key)
+        if document is None:
+            return web.Response(status=404)
+        return web.json_response(document)
+
+    async def _replace(self, request: web.Request) -> web.Response:
+        kind, name = request.match_info["kind"], request.match_info["name"]
+        if (kind, name) not in self._object_by_key:
+            return web.Response(status=404)
+        body = json.loads(await request.read())
+        await self.put(kind, name, body.get("spec"))
+        return web.json_response(self._object_by_key[kind, name])
+
+    async def _delete(self, request: web.Request) -> web.Response:
+        await self.remove(
+            request.match_info["kind"], request.match_info["name"]
+        )
+        return web.json_response({})
--- /dev/null
+++ b/src/sassafrashold/standins/records_leaf.py
@@ -0,0 +1,135 @@
+"""Stand-in of a leaf of the users' platform: signs what it ran."""
+
+import asyncio
+import dataclasses
+import datetime
+import hashlib
+
+from aiohttp import web
+
+RECORD_BYTES = 16
+_RECORDS = 4
+
+
+@dataclasses.dataclass(frozen=True)
+class Run:
+    """A request that a leaf ran."""
+
+    request_id: str
+    """Id of the caller's attempt."""
+
+    leaf_id: str
+    """The leaf."""
+
+    method: str
+    """HTTP method."""
+
+    target: str
+    """Path and query."""
+
+    body: bytes
+    """The whole body."""
+
+
+class RecordsLeaf:
+    """Serves records over HTTP and keeps what it ran.
+
+    Faults are set by the owner: `work` is how long a request takes,
+    `lose_answers` resets connections after the run, `reject` runs nothing.
+    """
+
+    def __init__(self, leaf_id: str, service: str, zone: str) -> None:
+        """Initializes a healthy leaf.
+
+        Args:
+            leaf_id: Id that requests have to expect.
+            service: Service that it belongs to.
+            zone: Its availability zone.
+        """
+        self.leaf_id = leaf_id
+        self.service = service
+        self.zone = zone
+        self.work = datetime.timedelta(milliseconds=2)
+        self.lose_answers = False
+        self.reject = False
+        self.runs: list[Run] = []
+        self.cancelled = 0
+        self.address = ""
+        self._runner: web.ServerRunner | None = None
+
+    async def start(self, ip: str = "127.0.0.1") -> None:
+        """Begins to listen on a free port."""
+        self._runner = web.ServerRunner(
+            web.Server(
+                self._handle, handler_cancellation=True, access_log=None
+            ),
+            shutdown_timeout=0.1,
+        )
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, ip, 0)
+        await site.start()
+        port = self._runner.addresses[0][1]
+        self.address = f"{ip}:{port}"
+
+    async def stop(self) -> None:
+        """Closes all connections."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def entry(self, state: str = "ready") -> dict[str, object]:
+        """Returns what the leaf writes of itself into the store."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 3,
+            "state": state,
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+            "born": 1790000000000,
+        }
+
+    def signature(self, request_id: str) -> str:
+        """Returns the signature of this leaf for a request."""
+        return f"{self.service}.{self.leaf_id}.{request_id}"
+
+    def records(self, request_id: str) -> bytes:
+        """Returns the records of this leaf's service for a request."""
+        return b"".join(
+            hashlib.md5(f"{self.service}/{request_id}/{i}".encode()).digest()
+            for i in range(_RECORDS)
+        )
+
+    async def _handle(self, request: web.BaseRequest) -> web.Response:
+        request_id = request.headers.get("Request-Id", "")
+        if request.headers.get("Expect-Instance") != self.leaf_id:
+            return web.Response(status=421, headers={"Request-Id": request_id})
+        if self.reject:
+            return web.Response(
+                status=503,
+                headers={"Request-Id": request_id, "Not-Executed": "1"},
+            )
+        self.runs.append(
+            Run(
+                request_id,
+                self.leaf_id,
+                request.method,
+                request.message.path,
+                await request.read(),
+            )
+        )
+        try:
+            await asyncio.sleep(self.work.total_seconds())
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        if self.lose_answers and request.transport is not None:
+            request.transport.abort()
+        return web.Response(
+            body=self.records(request_id),
+            headers={
+                "Request-Id": request_id,
+                "Server-Stamp": self.signature(request_id),
+            },
+        )
--- /dev/null
+++ b/tests/platform/platform_world.py
@@ -0,0 +1,303 @@
+"""The users' platform in small: store, leafs and real front processes."""
+
+import asyncio
+import datetime
+import hashlib
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+
+import aiohttp
+from aiohttp import web
+import yarl
+
+from sassafrashold.standins import objects_store
+from sassafrashold.standins import records_leaf
+
+HOST = "search.example"
+SHARDS = ("shard-a", "shard-b", "shard-c")
+ZONES = ("z1", "z2")
+_START_TIMEOUT_S = 15.0
+
+
+def free_port() -> int:
+    """Returns a port of the loopback address that was free just now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+def route(name: str, prefix: str, **fields: object) -> dict[str, object]:
+    """Returns a route as operators write it."""
+    return {
+        "name": name,
+        "host": HOST,
+        "path_prefix": prefix,
+        "type": "idempotent",
+        "timeout_ms": 2000,
+        "target_latency_ms": 300,
+        "priority": 1,
+        "attempts": 2,
+        **fields,
+    }
+
+
+class Front:
+    """One real process of the daemon."""
+
+    def __init__(self, folder: pathlib.Path, name: str, store: str) -> None:
+        self.name = name
+        self.url = f"http://127.0.0.1:{free_port()}"
+        self.ready_url = f"http://127.0.0.1:{free_port()}/readiness"
+        self._path = folder / f"{name}.conf"
+        self._log = folder / f"{name}.log"
+        self._path.write_text(
+            "\n".join(
+                (
+                    f"node_name={name}",
+                    "zone=z1",
+                    # Each process has a metrics address of its own.
+                    f"ip=127.0.0.{2 + int(name[-1])}",
+                    f"listen.front={self.url.removeprefix('http://')}",
+                    "listen.ready="
+                    + self.ready_url.removeprefix("http://").partition("/")[0],
+                    "bounds.drain_ms=3000",
+                    "bounds.grace_s=6",
+                    "bounds.retry_budget_ratio=0.2",
+                    "bounds.retry_budget_burst=56",
+                    "bounds.cold_burst_factor=1.5",
+                    "bounds.cold_slack=5",
+                    f"platform.address={store}",
+                )
+            ),
+            encoding="utf-8",
+        )
+        self.process: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Starts the process."""
+        environment = {**os.environ, "SASSAFRASHOLD_BOOT": str(self._path)}
+        with self._log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "sassafrashold.platform.main"],
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def log(self) -> str:
+        """Returns all that the process has written."""
+        return self._log.read_text(encoding="utf-8")
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal to the process."""
+        assert self.process is not None
+        self.process.send_signal(number)
+
+    async def exited(self, timeout_s: float) -> int:
+        """Waits for the end of the process; returns its exit code."""
+        assert self.process is not None
+        return await asyncio.to_thread(self.process.wait, timeout_s)
+
+
+class World:
+    """Store, leafs and processes; an asynchronous context manager."""
+
+    def __init__(self, folder: pathlib.Path, fronts: int = 1) -> None:
+        self._folder = folder
+        self._front_count = fronts
+        self.store = objects_store.ObjectsStore()
+        self.leafs = [
+            records_leaf.RecordsLeaf(f"{service}-{zone}", service, zone)
+            for service in (*SHARDS, "single")
+            for zone in ZONES
+        ]
+        self.fronts: list[Front] = []
+        self.version = 1
+        self.routes = [
+            route(
+                "all",
+                "/all/",
+                gather=list(SHARDS),
+                top_k=5,
+                min_shard_fraction=0.6,
+            ),
+            route("one", "/one/", service="single"),
+            route("once", "/once/", service="single", type="non_idempotent"),
+        ]
+
+    async def __aenter__(self) -> "World":
+        self._runner = web.AppRunner(
+            self.store.application(), shutdown_timeout=0.1
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+        self._store_port = self._runner.addresses[0][1]
+        for leaf in self.leafs:
+            await leaf.start()
+            await self.list_leaf(leaf)
+        await self.configure()
+        self.session = aiohttp.ClientSession()
+        for number in range(self._front_count):
+            front = Front(
+                self._folder, f"h{number}", f"127.0.0.1:{self._store_port}"
+            )
+            self.fronts.append(front)
+            front.start()
+        for front in self.fronts:
+            await self.ready(front)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for front in self.fronts:
+            if front.process is not None and front.process.poll() is None:
+                front.process.kill()
+                await front.exited(5)
+        await self.session.close()
+        for leaf in self.leafs:
+            await leaf.stop()
+        await self._runner.cleanup()
+
+    def leaf(self, service: str, zone: str) -> records_leaf.RecordsLeaf:
+        """Returns a leaf."""
+        return next(
+            leaf
+            for leaf in self.leafs
+            if (leaf.service, leaf.zone) == (service, zone)
+        )
+
+    async def list_leaf(
+        self, leaf: records_leaf.RecordsLeaf, state: str = "ready"
+    ) -> None:
+        """Writes the entry of a leaf."""
+        await self.store.put("servers", leaf.leaf_id, leaf.entry(state))
+
+    async def configure(self) -> None:
+        """Writes the next version of the configuration."""
+        self.version += 3
+        await self.store.put(
+            "config",
+            "main",
+            {
+                "version": self.version,
+                "routes": self.routes,
+                "services": [
+                    {
+                        "name": service,
+                        "health_path": "/health",
+                        "max_connections": 160,
+                        "cold_per_s": 0.0,
+                    }
+                    for service in (*SHARDS, "single")
+                ],
+                "limits": {
+                    "max_header_bytes": 16384,
+                    "max_body_bytes": 1000,
+                    "header_timeout_ms": 3000,
+                    "idle_timeout_ms": 15000,
+                },
+            },
+        )
+
+    async def ready(self, front: Front, wanted: int = 200) -> None:
+        """Waits until the readiness of a process is as wanted."""
+        async with asyncio.timeout(_START_TIMEOUT_S):
+            while True:
+                try:
+                    async with self.session.get(front.ready_url) as answer:
+                        if answer.status == wanted:
+                            return
+                except aiohttp.ClientError:
+                    pass
+                await asyncio.sleep(0.05)
+
+    async def ask(
+        self,
+        path: str,
+        request_id: str,
+        method: str = "GET",
+        front: int = 0,
+        deadline_ms: int = 2000,
+        body: bytes = b"",
+        host: str = HOST,
+    ) -> "Answer":
+        """Sends one request and returns its answer."""
+        began = asyncio.get_running_loop().time()
+        async with self.session.request(
+            method,
+            yarl.URL(self.fronts[front].url + path, encoded=True),
+            headers={
+                "Host": host,
+                "Request-Id": request_id,
+                "Deadline-Ms": str(deadline_ms),
+            },
+            data=body or None,
+        ) as response:
+            data = await response.read()
+            return Answer(
+                response.status,
+                dict(response.headers),
+                data,
+                datetime.timedelta(
+                    seconds=asyncio.get_running_loop().time() - began
+                ),
+            )
+
+    async def until_served(
+        self, path: str, timeout_s: float, front: int = 0
+    ) -> None:
+        """Asks until a path is served."""
+        async with asyncio.timeout(timeout_s):
+            answer = await self.ask(path, "until", front=front)
+            while answer.status != 200:
+                await asyncio.sleep(0.05)
+                answer = await self.ask(path, "until", front=front)
+
+    def runs(self, request_id: str) -> list[records_leaf.Run]:
+        """Returns what leafs ran of a request."""
+        return [
+            run
+            for leaf in self.leafs
+            for run in leaf.runs
+            if run.request_id == request_id
+        ]
+
+
+class Answer:
+    """An answer of a front process."""
+
+    def __init__(
+        self,
+        status: int,
+        headers: dict[str, str],
+        body: bytes,
+        duration: datetime.timedelta,
+    ) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.duration = duration
+
+    @property
+    def parts(self) -> list[str]:
+        """Signatures of the parts of a merged answer."""
+        text = self.headers.get("Part-Stamps", "")
+        return [part.strip() for part in text.split(",") if part.strip()]
+
+    @property
+    def missing(self) -> int:
+        """Shards that the answer leaves out."""
+        return int(self.headers.get("Missing-Parts", 0))
+
+
+def greatest(services: list[str], request_id: str, count: int) -> bytes:
+    """Returns the records that a merged answer has to hold."""
+    records = [
+        hashlib.md5(f"{service}/{request_id}/{i}".encode()).digest()
+        for service in services
+        for i in range(4)
+    ]
+    return b"".join(sorted(records, reverse=True)[:count])
