--- a/src/sassafrashold/calls/_messages.py
+++ b/src/sassafrashold/calls/_messages.py
@@ -1,5 +1,6 @@
 """Requests of callers and results of leaf calls, free of wire names."""
 
+from collections.abc import Callable
 import dataclasses
 import datetime
 import enum
@@ -41,8 +42,8 @@
     status: int
     """HTTP status."""
 
-    headers: tuple[tuple[str, str], ...]
-    """End-to-end headers, in order."""
+    headers: Callable[[], tuple[tuple[str, str], ...]]
+    """Returns the end-to-end headers; decoded only if they are passed on."""
 
     body: bytes
     """The whole body."""
@@ -87,9 +88,6 @@
     ERROR = "error"
     """The leaf ran the request and failed."""
 
-    TIMEOUT = "timeout"
-    """No answer in time; it may have run."""
-
 
 @dataclasses.dataclass(frozen=True)
 class Answered:
@@ -118,8 +116,6 @@
         return self.kind in _MAY_HAVE_RUN
 
 
-_MAY_HAVE_RUN = frozenset(
-    {FailureKind.LOST, FailureKind.ERROR, FailureKind.TIMEOUT}
-)
+_MAY_HAVE_RUN = frozenset({FailureKind.LOST, FailureKind.ERROR})
 
 CallResult = Answered | Failed
--- a/src/sassafrashold/calls/_state.py
+++ b/src/sassafrashold/calls/_state.py
@@ -75,32 +75,30 @@
 
     def __init__(self, target_latency: datetime.timedelta) -> None:
         self._target = target_latency
-        self._median = quantiles.RecentQuantile(
-            50, _LATENCY_WINDOW, _MIN_SAMPLES
-        )
-        self._late = quantiles.RecentQuantile(
-            _HEDGE_PERCENTILE, _LATENCY_WINDOW, _MIN_SAMPLES
+        self._recent = quantiles.RecentQuantiles(
+            (50, _HEDGE_PERCENTILE), _LATENCY_WINDOW, _MIN_SAMPLES
         )
 
     def record(
         self, duration: datetime.timedelta, now: datetime.timedelta
     ) -> None:
         """Adds an answer."""
-        self._median.record(duration, now)
-        self._late.record(duration, now)
+        self._recent.record(duration, now)
 
     def median(self, now: datetime.timedelta) -> datetime.timedelta:
         """Returns the median, or a default."""
-        known = self._median.value(now)
-        return self._target * _DEFAULT_MEDIAN_SHARE if known is None else known
+        known = self._recent.values(now)
+        if known is None:
+            return self._target * _DEFAULT_MEDIAN_SHARE
+        return known[0]
 
     def hedge_delay(self, now: datetime.timedelta) -> datetime.timedelta:
         """Returns the age of a call from which a second one is sent."""
-        known = self._late.value(now)
+        known = self._recent.values(now)
         if known is None:
             return self._target * _DEFAULT_HEDGE_SHARE
         return max(
-            min(known, self._target * _MAX_HEDGE_SHARE), _MIN_HEDGE_DELAY
+            min(known[1], self._target * _MAX_HEDGE_SHARE), _MIN_HEDGE_DELAY
         )
 
     def overdue_from(self, now: datetime.timedelta) -> datetime.timedelta:
--- a/src/sassafrashold/front/_leaf_pool.py
+++ b/src/sassafrashold/front/_leaf_pool.py
@@ -27,7 +27,6 @@
         self._on_result: OnResult | None = on_result
         self.connection: _leaf_connection.LeafConnection | None = None
         self.connecting: asyncio.Task[None] | None = None
-        self.timer: asyncio.TimerHandle | None = None
 
     @property
     def is_done(self) -> bool:
@@ -55,9 +54,6 @@
     def _release(self) -> None:
         self._on_result = None
         self.connection = None
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
 
 
 class LeafPool:
@@ -95,16 +91,14 @@
         Args:
             leaf: The leaf.
             request: Request of the caller.
-            time_left: Until when the answer is wanted.
+            time_left: How long the leaf may work; the owner of the call
+                cancels it when it no longer waits.
             runs_once: Whether the request must not run twice.
             on_result: Called once from the loop, never from within this call;
                 not called after `cancel`.
         """
         loop = asyncio.get_running_loop()
         call = LeafCall(on_result)
-        call.timer = loop.call_later(
-            time_left.total_seconds(), self._time_out, call
-        )
         deadline = self._clock.monotonic() + time_left
         connection = self._take_idle(leaf.ref, runs_once)
         if connection is not None:
@@ -237,15 +231,3 @@
         self._idle_by_ref.setdefault(ref, []).append(
             (self._clock.monotonic(), connection)
         )
-
-    def _time_out(self, call: LeafCall) -> None:
-        connection = call.connection
-        connecting = call.connecting
-        kind = calls.FailureKind.TIMEOUT
-        if connection is None:
-            kind = calls.FailureKind.NOT_SENT
-        call.finish(calls.Failed(kind, None, "no answer in time"))
-        if connection is not None:
-            connection.close()
-        if connecting is not None:
-            connecting.cancel()
--- a/src/sassafrashold/front/_requests.py
+++ b/src/sassafrashold/front/_requests.py
@@ -207,7 +207,7 @@
                             call.succeeded(send, now)
                             exchange.release(call.release_open(), call)
                             return Reply(
-                                answer.status, answer.headers, answer.body
+                                answer.status, answer.headers(), answer.body
                             )
                         case calls.Failed() as failure:
                             retry = call.failed(send, failure, now)
@@ -232,10 +232,8 @@
         ):
             answer = failure.answer
             return Reply(
-                answer.status, answer.headers, answer.body, Cause.LEAF_FAILED
+                answer.status, answer.headers(), answer.body, Cause.LEAF_FAILED
             )
-        if failure is not None and failure.kind is calls.FailureKind.TIMEOUT:
-            return _own_reply(504, Cause.DEADLINE)
         return _own_reply(502, Cause.LEAF_FAILED)
 
     def _refusal(
--- a/src/sassafrashold/platform/wire.py
+++ b/src/sassafrashold/platform/wire.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 import datetime
+import functools
 import math
 
 from sassafrashold import calls
@@ -37,18 +38,24 @@
 )
 _NOT_RETURNED = frozenset(
     {
-        "connection",
-        "keep-alive",
-        "proxy-connection",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-        "date",
-        "server",
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"date",
+        b"server",
     }
 )
 
+_REQUEST_ID_KEY = _REQUEST_ID.lower().encode()
+_DEADLINE_KEY = _DEADLINE.lower().encode()
+_SIGNATURE_KEY = _SIGNATURE.lower().encode()
+_NOT_RUN_KEY = _NOT_RUN.lower().encode()
+_COLD_KEY = _COLD.lower().encode()
+
 RawHeaders = Sequence[tuple[bytes, bytes]]
 
 
@@ -67,14 +74,12 @@
     listed = value_by_name.get(b"connection", b"").lower().split(b",")
     dropped = {item.strip() for item in listed}
     return calls.ClientRequest(
-        request_id=_text(value_by_name.get(_REQUEST_ID.lower().encode())),
+        request_id=_text(value_by_name.get(_REQUEST_ID_KEY)),
         method=method,
         target=target,
         path=target.partition("?")[0],
         host=_text(value_by_name.get(b"host")) or "",
-        time_left=_duration_ms(
-            _text(value_by_name.get(_DEADLINE.lower().encode()))
-        ),
+        time_left=_duration_ms(_text(value_by_name.get(_DEADLINE_KEY))),
         forwarded_headers=tuple(
             (name, value)
             for name, value in headers
@@ -122,9 +127,8 @@
     """
     if request_id is None:
         return True
-    name_wanted = _REQUEST_ID.lower().encode()
     for name, value in headers:
-        if name.lower() == name_wanted:
+        if name.lower() == _REQUEST_ID_KEY:
             return value.strip() == request_id.encode(
                 "utf-8", "surrogateescape"
             )
@@ -141,23 +145,17 @@
         headers: Header names and values as sent.
         body: The whole body.
     """
-    text_headers = tuple(
-        (_text(name) or "", _text(value) or "") for name, value in headers
-    )
-    value_by_name = {name.lower(): value for name, value in text_headers}
+    value_by_name = {name.lower(): value for name, value in headers}
+    encoding = value_by_name.get(b"content-encoding", b"identity")
+    cold = value_by_name.get(_COLD_KEY)
     answer = calls.LeafAnswer(
         status=status,
-        headers=tuple(
-            (name, value)
-            for name, value in text_headers
-            if name.lower() not in _NOT_RETURNED
-        ),
+        headers=functools.partial(_returned_headers, headers),
         body=body,
-        signature=value_by_name.get(_SIGNATURE.lower()),
-        not_run=_NOT_RUN.lower() in value_by_name,
-        encoded=value_by_name.get("content-encoding", "identity").lower()
-        != "identity",
-        cold_for=_duration_ms(value_by_name.get(_COLD.lower())),
+        signature=_text(value_by_name.get(_SIGNATURE_KEY)),
+        not_run=_NOT_RUN_KEY in value_by_name,
+        encoded=encoding.strip().lower() != b"identity",
+        cold_for=_duration_ms(_text(cold)) if cold else None,
     )
     if status == _WRONG_LEAF_STATUS:
         return calls.Failed(calls.FailureKind.WRONG_LEAF, answer)
@@ -172,6 +170,14 @@
     return calls.Failed(calls.FailureKind.ERROR, answer)
 
 
+def _returned_headers(headers: RawHeaders) -> tuple[tuple[str, str], ...]:
+    return tuple(
+        (_text(name) or "", _text(value) or "")
+        for name, value in headers
+        if name.lower() not in _NOT_RETURNED
+    )
+
+
 def gather_headers(signatures: Sequence[str], missing: int) -> dict[str, str]:
     """Returns the headers of a merged answer.
 
--- a/src/sassafrashold/quantiles.py
+++ b/src/sassafrashold/quantiles.py
@@ -11,19 +11,19 @@
 _REFRESH_SAMPLES = 32
 
 
-class RecentQuantile:
-    """One quantile of the durations of the last one to two windows.
+class RecentQuantiles:
+    """Quantiles of the durations of the last one to two windows.
 
-    The value is computed anew after some samples only, because a query of the
+    The values are computed anew after some samples only, because a query of the
     histogram takes about ten times as long as a recording.
     """
 
     __slots__ = (
         "_current",
-        "_percentile",
+        "_percentiles",
         "_previous",
         "_since_refresh",
-        "_value",
+        "_values",
         "_window",
         "_window_end",
         "min_samples",
@@ -31,35 +31,37 @@
 
     def __init__(
         self,
-        percentile: float,
+        percentiles: tuple[float, ...],
         window: datetime.timedelta = datetime.timedelta(seconds=5),
         min_samples: int = 20,
     ) -> None:
         """Initializes an empty record.
 
         Args:
-            percentile: Which quantile, 0 to 100.
+            percentiles: Which quantiles, each 0 to 100.
             window: Time that a histogram covers.
             min_samples: Fewer recent samples give no value.
         """
         self.min_samples = min_samples
-        self._percentile = percentile
+        self._percentiles = percentiles
         self._window = window
         self._window_end = datetime.timedelta()
         self._current = histogram.HdrHistogram(1, _MAX_UNITS, _DIGITS)
         self._previous = histogram.HdrHistogram(1, _MAX_UNITS, _DIGITS)
         self._since_refresh = 0
-        self._value: datetime.timedelta | None = None
+        self._values: tuple[datetime.timedelta, ...] | None = None
 
-    def value(self, now: datetime.timedelta) -> datetime.timedelta | None:
-        """Returns the quantile; None without enough recent samples.
+    def values(
+        self, now: datetime.timedelta
+    ) -> tuple[datetime.timedelta, ...] | None:
+        """Returns the quantiles; None without enough recent samples.
 
         Args:
             now: Monotonic time.
         """
         if now >= self._window_end + self._window:
             return None
-        return self._value
+        return self._values
 
     def record(
         self, duration: datetime.timedelta, now: datetime.timedelta
@@ -70,7 +72,7 @@
         units = int(duration / _MICROSECOND / _UNIT_US)
         self._current.record_value(min(max(units, 1), _MAX_UNITS))
         self._since_refresh += 1
-        if self._since_refresh >= _REFRESH_SAMPLES or self._value is None:
+        if self._since_refresh >= _REFRESH_SAMPLES or self._values is None:
             self._refresh()
 
     def _rotate(self, now: datetime.timedelta) -> None:
@@ -78,7 +80,7 @@
         if now >= self._window_end + self._window:
             self._previous.reset()
             # The value of samples that are gone must not come back.
-            self._value = None
+            self._values = None
         self._current.reset()
         self._window_end = now + self._window
 
@@ -88,11 +90,46 @@
             self._current.get_total_count() + self._previous.get_total_count()
         )
         if samples < self.min_samples:
-            self._value = None
+            self._values = None
             return
-        units = max(
-            recorded.get_value_at_percentile(self._percentile)
+        self._values = tuple(
+            self._units(percentile) * _UNIT_US * _MICROSECOND
+            for percentile in self._percentiles
+        )
+
+    def _units(self, percentile: float) -> int:
+        return max(
+            int(recorded.get_value_at_percentile(percentile))
             for recorded in (self._current, self._previous)
             if recorded.get_total_count()
         )
-        self._value = units * _UNIT_US * _MICROSECOND
+
+
+class RecentQuantile(RecentQuantiles):
+    """One quantile of recent durations."""
+
+    __slots__ = ()
+
+    def __init__(
+        self,
+        percentile: float,
+        window: datetime.timedelta = datetime.timedelta(seconds=5),
+        min_samples: int = 20,
+    ) -> None:
+        """Initializes an empty record.
+
+        Args:
+            percentile: Which quantile, 0 to 100.
+            window: Time that a histogram covers.
+            min_samples: Fewer recent samples give no value.
+        """
+        super().__init__((percentile,), window, min_samples)
+
+    def value(self, now: datetime.timedelta) -> datetime.timedelta | None:
+        """Returns the quantile; None without enough recent samples.
+
+        Args:
+            now: Monotonic time.
+        """
+        values = self.values(now)
+        return None if values is None else values[0]
