Let two hosts of a zone read the store for the others

A watch of every host for every topic is a design that does not grow. Change: zones of four hosts or more follow their two readers over a long poll of 0.8 s, and resume at the store by revision when these fail. A host that starts while the store is away copies from its seeds. Ruled out: one reader (its loss makes the whole zone read at once); following without the readers' own health (a reader cut from the store would keep its followers on an old version).

--- a/src/sassafrashold/front/_daemon.py
+++ b/src/sassafrashold/front/_daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+import dataclasses
 import datetime
 import logging
 import random
@@ -12,23 +13,22 @@
 from sassafrashold import calls
 from sassafrashold import clock as clock_lib
 from sassafrashold import directory as directory_lib
-from sassafrashold import errors
+from sassafrashold import relay
 from sassafrashold import routing
-from sassafrashold.front import _follower
 from sassafrashold.front import _interfaces
 from sassafrashold.front import _leaf_pool
 from sassafrashold.front import _metrics
+from sassafrashold.front import _peers
 from sassafrashold.front import _registry
 from sassafrashold.front import _request_log
 from sassafrashold.front import _requests
 from sassafrashold.front import _server
 from sassafrashold.front import _settings
+from sassafrashold.front import _sourcing
+from sassafrashold.front import _view
 
 _LOGGER = logging.getLogger(__name__)
 _HOUSEKEEPING_INTERVAL = datetime.timedelta(milliseconds=250)
-# Changes of leafs come in bursts; a leaf that drains may be called for longer.
-_LEAF_PAUSE = datetime.timedelta(milliseconds=250)
-_CONFIGURATION_PAUSE = datetime.timedelta(milliseconds=50)
 # The balancer asks once a second and sends callers until two refusals.
 _BALANCER_DELAY = datetime.timedelta(seconds=3)
 # Shares of the time between SIGTERM and SIGKILL.
@@ -48,7 +48,7 @@
         self,
         values: _settings.FrontSettings,
         protocol: _interfaces.Protocol,
-        topics: "Topics",
+        topics: _view.Topics,
         registry: _interfaces.HostRegistry,
         clock: clock_lib.Clock,
         random_source: random.Random,
@@ -98,50 +98,33 @@
             self._log,
             clock,
         )
-        self._health = _follower.StoreHealth(self._probe, self._store_changed)
-        self._configuration_topic = topics.configuration
-        self._configuration = _follower.Follower(
-            topics.configuration,
-            self._health,
-            self._adopt,
-            self._adopt,
-            self._read_all,
-            _CONFIGURATION_PAUSE,
+        self._view = _view.View(
+            topics, self._table, self._directory, self._state, self._pool, clock
         )
-        self._followers = (
-            self._configuration,
-            _follower.Follower(
-                topics.leafs,
-                self._health,
-                self._list_leafs,
-                self._change_leafs,
-                self._read_all,
-                _LEAF_PAUSE,
-            ),
-            _follower.Follower(
-                topics.zones_out,
-                self._health,
-                self._list_zones_out,
-                self._change_zones_out,
-                self._read_all,
-                _CONFIGURATION_PAUSE,
-            ),
+        self._sourcing = _sourcing.Sourcing(
+            self._view,
+            topics,
+            _peers.PeerClient(self._view),
+            [seed for seed in values.seeds if seed != values.peers],
+        )
+        self._peer_server = _peers.PeerServer(
+            self._view, lambda: self._sourcing.reads_store
         )
+        self._view.on_change = self._peer_server.note_change
         self._registry = _registry.RegistryTask(
-            registry, values.host, values.zone, self._set_hosts, clock
+            registry,
+            relay.Peer(values.host, values.zone, values.peers),
+            values.bootstrap,
+            self._set_hosts,
+            self._sourcing.start_alone,
+            clock,
         )
-        self._zones_known = False
         self._stopping = False
 
     @property
     def is_ready(self) -> bool:
         """Whether callers may be sent here."""
-        return (
-            not self._stopping
-            and self._table.current is not None
-            and self._directory.loaded
-            and self._zones_known
-        )
+        return not self._stopping and self._view.is_complete
 
     async def run(self, stopping: asyncio.Event) -> None:
         """Serves until the event is set, then drains.
@@ -150,14 +133,13 @@
             stopping: Set on SIGTERM.
         """
         await self._server.start(self._values.clients)
-        runners = [await self._serve_readiness()]
+        runners = [await self._serve_readiness(), await self._serve_peers()]
         if self._values.metrics is not None:
             runners.append(await self._serve_metrics())
         tasks = [
             asyncio.create_task(self._guard(task))
             for task in (
-                *(follower.run() for follower in self._followers),
-                self._health.run(),
+                self._sourcing.run(),
                 self._registry.run(),
                 self._keep_house(),
             )
@@ -209,8 +191,7 @@
     async def _keep_house(self) -> None:
         while True:
             await asyncio.sleep(_HOUSEKEEPING_INTERVAL.total_seconds())
-            now = self._clock.monotonic()
-            self._forget(self._directory.forget_expired(now))
+            self._view.forget_expired()
             self._pool.close_idle(self._idle_limit)
 
     def _idle_limit(self, ref: directory_lib.LeafRef) -> int:
@@ -219,129 +200,23 @@
             return 0
         return self._state.connections(entry.service, ref.leaf_id)
 
-    def _forget(self, ended: list[directory_lib.LeafRef]) -> None:
-        for ref in ended:
-            self._pool.forget(ref)
-            self._state.forget(ref)
-
-    def _store_changed(self, away: bool) -> None:
-        self._directory.set_store_away(away, self._clock.monotonic())
-        if not away:
-            for follower in self._followers:
-                follower.restart(read_all=False)
-
-    async def _probe(self) -> None:
-        """Makes a cheap call, which may find a version or a lost history."""
-        revision = self._configuration.revision
-        if revision is None:
-            return
-        try:
-            found = await self._configuration_topic.peek(revision)
-        except errors.HistoryGoneError:
-            if revision == self._configuration.revision:
-                self._read_all()
-            return
-        self._adopt(found.items)
-
-    def _read_all(self) -> None:
-        """Reads all topics anew, as changes may have been missed."""
-        _LOGGER.info("reading all of the store")
-        for follower in self._followers:
-            follower.restart(read_all=True)
-
-    def _adopt(self, versions: tuple[routing.Configuration, ...]) -> None:
-        for configuration in versions:
-            before = self._table.current
-            if self._table.adopt(configuration):
-                _LOGGER.info(
-                    "configuration in force",
-                    extra={
-                        "configuration": configuration.version,
-                        "before": before.version if before else None,
-                    },
-                )
-
-    def _list_leafs(
-        self, changes: tuple[directory_lib.LeafChange, ...]
-    ) -> None:
-        entries = [
-            change.entry
-            for change in changes
-            if isinstance(change, directory_lib.LeafSeen)
-        ]
-        now = self._clock.monotonic()
-        self._forget(self._directory.replace_all(entries, now))
-        _LOGGER.info("leafs listed", extra={"leafs": len(entries)})
-
-    def _change_leafs(
-        self, changes: tuple[directory_lib.LeafChange, ...]
-    ) -> None:
-        now = self._clock.monotonic()
-        for change in changes:
-            self._log_leaf(change)
-            self._forget(self._directory.apply(change, now))
-
-    def _log_leaf(self, change: directory_lib.LeafChange) -> None:
-        match change:
-            case directory_lib.LeafSeen(entry):
-                known = self._directory.entry(entry.ref.leaf_id)
-                if (
-                    known is not None
-                    and known.ref == entry.ref
-                    and known.draining == entry.draining
-                ):
-                    return
-                _LOGGER.info(
-                    "leaf listed",
-                    extra={
-                        "leaf": entry.ref.leaf_id,
-                        "service": entry.service,
-                        "leaf_zone": entry.zone,
-                        "draining": entry.draining,
-                    },
-                )
-            case directory_lib.LeafRemoved(leaf_id):
-                _LOGGER.info("leaf no longer listed", extra={"leaf": leaf_id})
-
-    def _list_zones_out(
-        self, changes: tuple[_interfaces.ZoneChange, ...]
-    ) -> None:
-        self._zones_known = True
-        self._set_zones_out({c.zone for c in changes if c.out})
-
-    def _change_zones_out(
-        self, changes: tuple[_interfaces.ZoneChange, ...]
-    ) -> None:
-        zones = set(self._directory.zones_out)
-        for change in changes:
-            if change.out:
-                zones.add(change.zone)
-            else:
-                zones.discard(change.zone)
-        self._set_zones_out(zones)
-
-    def _set_zones_out(self, zones: set[str]) -> None:
-        if zones != self._directory.zones_out:
-            _LOGGER.info(
-                "zones out of service changed", extra={"zones": sorted(zones)}
+    def _set_hosts(self, peers: tuple[relay.Peer, ...]) -> None:
+        self._sourcing.set_sources(
+            relay.sources_for(
+                self._values.host,
+                [peer for peer in peers if peer.zone == self._values.zone],
             )
-        self._directory.set_zones_out(zones)
-
-    def _set_hosts(self, hosts: tuple[str, ...]) -> None:
+        )
         share = self._state.share
+        hosts = tuple(sorted(peer.host for peer in peers))
         if hosts == share.hosts:
             return
         _LOGGER.info("live hosts changed", extra={"hosts": len(hosts)})
-        self._state.set_share(
-            calls.ShareOfLimits(
-                hosts=hosts,
-                own_host=share.own_host,
-                extra_calls_ratio=share.extra_calls_ratio,
-                extra_calls_burst=share.extra_calls_burst,
-                cold_burst_factor=share.cold_burst_factor,
-                cold_slack=share.cold_slack,
-            )
-        )
+        self._state.set_share(dataclasses.replace(share, hosts=hosts))
+
+    async def _serve_peers(self) -> web.ServerRunner:
+        address = self._values.peers
+        return await _listen(self._peer_server.handle, address.ip, address.port)
 
     async def _serve_readiness(self) -> web.ServerRunner:
         async def handle(request: web.BaseRequest) -> web.Response:
@@ -372,34 +247,13 @@
             ("sassafras_leafs", len(self._directory.entries())),
             ("sassafras_hosts", len(self._state.share.hosts)),
             ("sassafras_ready", self.is_ready),
-            ("sassafras_store_away", self._health.is_away),
+            ("sassafras_store_away", self._sourcing.health.is_away),
             ("sassafras_leaf_connections", self._pool.opened),
             ("sassafras_log_lines_left_out", self._log.left_out),
         ):
             self._metrics.gauge(name, float(value or 0))
 
 
-class Topics:
-    """The topics that a daemon follows."""
-
-    def __init__(
-        self,
-        configuration: _interfaces.PeekableTopic[routing.Configuration],
-        leafs: _interfaces.Topic[directory_lib.LeafChange],
-        zones_out: _interfaces.Topic[_interfaces.ZoneChange],
-    ) -> None:
-        """Initializes the set.
-
-        Args:
-            configuration: Versions of the configuration.
-            leafs: Entries of leafs.
-            zones_out: Zones out of service.
-        """
-        self.configuration = configuration
-        self.leafs = leafs
-        self.zones_out = zones_out
-
-
 async def _listen(handler: Any, ip: str, port: int) -> web.ServerRunner:
     runner = web.ServerRunner(web.Server(handler, access_log=None))
     await runner.setup()
--- a/src/sassafrashold/front/_follower.py
+++ b/src/sassafrashold/front/_follower.py
@@ -5,15 +5,13 @@
 from collections.abc import Callable
 import datetime
 import logging
-from typing import Generic
-from typing import TypeVar
 
 from sassafrashold import backoff
 from sassafrashold import errors
+from sassafrashold import relay
 from sassafrashold.front import _interfaces
 
 _LOGGER = logging.getLogger(__name__)
-_ItemT = TypeVar("_ItemT")
 # Every call has a price, so a waiting one lasts nearly as long as is allowed.
 _WATCH_WAIT = datetime.timedelta(seconds=25)
 # Calls that may come seconds old cost a tenth. One that fails shows an outage,
@@ -77,6 +75,10 @@
         _LOGGER.warning("store lost", extra={"cause": error.message})
         self._on_change(True)
 
+    def reset(self) -> None:
+        """Forgets what was seen, as the store is no longer called."""
+        self._back.set()
+
     def _note_back(self) -> None:
         if not self.is_away:
             return
@@ -85,15 +87,15 @@
         self._on_change(False)
 
 
-class Follower(Generic[_ItemT]):
-    """Reads all items of a topic, then follows the changes."""
+class Follower:
+    """Reads all documents of a topic, then follows the changes."""
 
     def __init__(
         self,
-        topic: _interfaces.Topic[_ItemT],
+        topic: _interfaces.Topic[object],
+        mirror: relay.Mirror,
         health: StoreHealth,
-        on_snapshot: Callable[[tuple[_ItemT, ...]], None],
-        on_changes: Callable[[tuple[_ItemT, ...]], None],
+        take: Callable[[str, relay.Batch], None],
         on_history_gone: Callable[[], None],
         pause: datetime.timedelta,
     ) -> None:
@@ -101,22 +103,22 @@
 
         Args:
             topic: What to follow.
+            mirror: Copy of the topic, which says where to continue.
             health: Knows when the store is away.
-            on_snapshot: Gets all items.
-            on_changes: Gets changes in order.
+            take: Gets the name of the topic and what was read.
             on_history_gone: Called when changes may have been missed; other
                 topics may have missed some too.
             pause: Time between two calls, so that changes that come together
                 are read together.
         """
         self._topic = topic
+        self._mirror = mirror
         self._health = health
-        self._on_snapshot = on_snapshot
-        self._on_changes = on_changes
+        self._take = take
         self._on_history_gone = on_history_gone
         self._pause = pause
         self._call: asyncio.Task[None] | None = None
-        self.revision: int | None = None
+        self._read_all = False
 
     def restart(self, *, read_all: bool) -> None:
         """Ends a waiting call, which may never hear anything.
@@ -124,8 +126,7 @@
         Args:
             read_all: Whether changes may have been missed.
         """
-        if read_all:
-            self.revision = None
+        self._read_all = self._read_all or read_all
         if self._call is not None:
             self._call.cancel()
 
@@ -146,11 +147,10 @@
                     "store has dropped its history; reading all",
                     extra={
                         "topic": self._topic.name,
-                        "revision": self.revision,
+                        "revision": self._mirror.revision,
                     },
                 )
                 self._call = None
-                self.revision = None
                 self._on_history_gone()
             except errors.StoreError as error:
                 failures += 1
@@ -163,13 +163,12 @@
                 failures = 0
 
     async def _step(self) -> None:
-        if self.revision is None:
-            found = await self._topic.snapshot()
-            self.revision = found.revision
-            self._on_snapshot(found.items)
+        revision = self._mirror.revision
+        if revision is None or self._read_all:
+            batch = await self._topic.snapshot()
+            self._read_all = False
+            self._take(self._topic.name, batch)
             return
-        found = await self._topic.changes(self.revision, _WATCH_WAIT)
-        self.revision = max(found.revision, self.revision)
-        if found.items:
-            self._on_changes(found.items)
+        batch = await self._topic.changes(revision, _WATCH_WAIT)
+        self._take(self._topic.name, batch)
         await asyncio.sleep(self._pause.total_seconds())
--- a/src/sassafrashold/front/_interfaces.py
+++ b/src/sassafrashold/front/_interfaces.py
@@ -1,30 +1,20 @@
 """What the daemon needs of the platform it runs on."""
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
 import datetime
 import typing
-from typing import Generic
 from typing import TypeVar
 
 from sassafrashold import calls
 from sassafrashold import directory
+from sassafrashold import relay
 
 _ItemT_co = TypeVar("_ItemT_co", covariant=True)
 
 
-@dataclasses.dataclass(frozen=True)
-class Snapshot(Generic[_ItemT_co]):
-    """Items read from the store and the revision they are complete up to."""
-
-    items: tuple[_ItemT_co, ...]
-    """All items of a kind, or the changes to them in order."""
-
-    revision: int
-    """Where to continue."""
-
-
 @dataclasses.dataclass(frozen=True)
 class ZoneChange:
     """Operators have taken a zone out of service or brought it back."""
@@ -37,12 +27,12 @@
 
 
 class Topic(typing.Protocol[_ItemT_co]):
-    """One kind of objects that can be read and followed."""
+    """One kind of objects in the store that can be read and followed."""
 
     name: str
 
-    async def snapshot(self) -> Snapshot[_ItemT_co]:
-        """Returns all items.
+    async def snapshot(self) -> relay.Batch:
+        """Returns all documents.
 
         Raises:
             StoreError: The store refused or did not answer.
@@ -51,7 +41,7 @@
 
     async def changes(
         self, revision: int, wait: datetime.timedelta
-    ) -> Snapshot[_ItemT_co]:
+    ) -> relay.Batch:
         """Waits for changes.
 
         Raises:
@@ -60,12 +50,10 @@
         """
         ...
 
+    async def peek(self, revision: int) -> relay.Batch:
+        """Returns changes since a revision at once, at a low price.
 
-class PeekableTopic(Topic[_ItemT_co], typing.Protocol[_ItemT_co]):
-    """A topic whose changes can also be asked for at a low price."""
-
-    async def peek(self, revision: int) -> Snapshot[_ItemT_co]:
-        """Returns changes since a revision at once; may be seconds old.
+        They may be seconds old.
 
         Raises:
             HistoryGoneError: Changes since then are no longer kept.
@@ -73,11 +61,28 @@
         """
         ...
 
+    def decode(
+        self, documents: Iterable[relay.Document]
+    ) -> tuple[_ItemT_co, ...]:
+        """Decodes documents; leaves out, with a log line, what can't be."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True)
+class RegisteredHost:
+    """What a host of the system has written of itself."""
+
+    peer: relay.Peer
+    """Its name, zone and address."""
+
+    beat: int
+    """A number that changes while the host is alive."""
+
 
 class HostRegistry(typing.Protocol):
     """The hosts of the system, as they have written themselves down."""
 
-    async def register(self, host: str, zone: str, beat: int) -> None:
+    async def register(self, host: RegisteredHost) -> None:
         """Writes the entry of a host."""
         ...
 
@@ -85,8 +90,8 @@
         """Removes the entry of a host."""
         ...
 
-    async def beats(self) -> dict[str, int]:
-        """Returns a number by host that changes while the host is alive."""
+    async def hosts(self) -> tuple[RegisteredHost, ...]:
+        """Returns all entries; may be seconds old."""
         ...
 
 
--- /dev/null
+++ b/src/sassafrashold/front/_peers.py
@@ -0,0 +1,172 @@
+"""Following another host of the zone instead of the store."""
+
+import asyncio
+from collections.abc import Callable
+import datetime
+import json
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from sassafrashold import errors
+from sassafrashold import relay
+from sassafrashold import settings
+from sassafrashold import sockets
+from sassafrashold.front import _view
+
+_PATH = "/v1/follow"
+_COPY_PATH = "/v1/copy"
+# Short, as each answer shows that the other host still reads the store.
+_WAIT = datetime.timedelta(milliseconds=800)
+_TIMEOUT = datetime.timedelta(milliseconds=1500)
+
+
+class PeerServer:
+    """Gives other hosts what this one has read from the store."""
+
+    def __init__(
+        self, view: _view.View, reads_store: Callable[[], bool]
+    ) -> None:
+        """Initializes the server.
+
+        Args:
+            view: What this host knows.
+            reads_store: Returns whether this host reads the store itself and
+                the store answers.
+        """
+        self._view = view
+        self._reads_store = reads_store
+        self._changed = asyncio.Event()
+
+    def note_change(self) -> None:
+        """Wakes the hosts that wait."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def handle(self, request: web.BaseRequest) -> web.Response:
+        """Answers one host as soon as there is news for it."""
+        if request.path == _COPY_PATH:
+            if not self._view.is_complete:
+                return web.Response(status=503)
+            return web.json_response(self._news({}))
+        known = {
+            name: int(text) if text.isdecimal() else None
+            for name, text in request.rel_url.query.items()
+        }
+        end = asyncio.get_running_loop().time() + _WAIT.total_seconds()
+        while self._reads_store():
+            changed = self._changed
+            news = self._news(known)
+            left = end - asyncio.get_running_loop().time()
+            if news or left <= 0:
+                return web.json_response(news)
+            try:
+                await asyncio.wait_for(changed.wait(), left)
+            except TimeoutError:
+                continue
+        return web.Response(status=503)
+
+    def _news(self, known: dict[str, int | None]) -> dict[str, Any]:
+        news = {}
+        for name, mirror in self._view.mirror_by_topic.items():
+            batch = mirror.since(known.get(name))
+            if batch is not None:
+                news[name] = _encode(batch)
+        return news
+
+
+class PeerClient:
+    """Asks another host for news."""
+
+    def __init__(self, view: _view.View) -> None:
+        """Initializes the client.
+
+        Args:
+            view: Gets the news.
+        """
+        self._view = view
+        self._session: aiohttp.ClientSession | None = None
+
+    async def follow_once(self, address: settings.Address) -> None:
+        """Waits for news and puts it in force.
+
+        Raises:
+            StoreError: The other host did not answer, or does not read the
+                store now.
+        """
+        query = {
+            name: str(mirror.revision)
+            for name, mirror in self._view.mirror_by_topic.items()
+            if mirror.revision is not None
+        }
+        await self._take_from(address, _PATH, query)
+
+    async def copy_once(self, address: settings.Address) -> None:
+        """Takes what another host knows, however old that is.
+
+        Raises:
+            StoreError: The other host did not answer or knows too little.
+        """
+        await self._take_from(address, _COPY_PATH, {})
+
+    async def _take_from(
+        self, address: settings.Address, path: str, query: dict[str, str]
+    ) -> None:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(
+                    socket_factory=lambda _: sockets.stream_socket()
+                ),
+                cookie_jar=aiohttp.DummyCookieJar(),
+                timeout=aiohttp.ClientTimeout(total=_TIMEOUT.total_seconds()),
+            )
+        try:
+            async with self._session.get(
+                f"http://{address}{path}", params=query
+            ) as response:
+                data = await response.read()
+                status = response.status
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise _unavailable(address, repr(error)) from error
+        if status != 200:
+            raise _unavailable(address, f"status {status}")
+        try:
+            batch_by_topic = {
+                name: _decode(item) for name, item in json.loads(data).items()
+            }
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            raise _unavailable(address, f"unreadable: {error!r}") from error
+        for name, batch in batch_by_topic.items():
+            if name in self._view.mirror_by_topic:
+                self._view.take(name, batch)
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+
+def _encode(batch: relay.Batch) -> dict[str, Any]:
+    return {
+        "revision": batch.revision,
+        "whole": batch.whole,
+        "documents": [[d.name, d.content, d.deleted] for d in batch.documents],
+    }
+
+
+def _decode(item: dict[str, Any]) -> relay.Batch:
+    return relay.Batch(
+        tuple(
+            relay.Document(str(name), content, bool(deleted))
+            for name, content, deleted in item["documents"]
+        ),
+        int(item["revision"]),
+        bool(item["whole"]),
+    )
+
+
+def _unavailable(address: settings.Address, cause: str) -> errors.StoreError:
+    return errors.StoreError(
+        errors.ErrorCode.UNAVAILABLE, f"host {address}: {cause}"
+    )
--- a/src/sassafrashold/front/_settings.py
+++ b/src/sassafrashold/front/_settings.py
@@ -25,6 +25,15 @@
     readiness_path: str
     """Path of that question."""
 
+    peers: settings.Address
+    """Where other hosts of the system connect."""
+
+    seeds: tuple[settings.Address, ...]
+    """Where some other hosts serve theirs; may be stale."""
+
+    bootstrap: bool
+    """Whether the whole system starts for the first time."""
+
     metrics: settings.Address | None
     """Where metrics are read; None if nowhere."""
 
--- a/src/sassafrashold/front/tests/test_changes_are_not_missed.py
+++ b/src/sassafrashold/front/tests/test_changes_are_not_missed.py
@@ -9,7 +9,7 @@
 import datetime
 
 from sassafrashold import errors
-from sassafrashold import front
+from sassafrashold import relay
 from sassafrashold.front import _follower
 
 
@@ -25,7 +25,9 @@
 
     async def snapshot(self):
         self.reads += 1
-        return front.Snapshot((self.value,), self.value)
+        return relay.Batch(
+            (relay.Document("x", self.value),), self.value, whole=True
+        )
 
     async def changes(self, revision, wait):
         if self.deaf:
@@ -34,17 +36,28 @@
         self.gone.clear()
         raise errors.HistoryGoneError(self.name)
 
+    async def peek(self, revision):
+        return relay.Batch((), revision)
+
+    def decode(self, documents):
+        return tuple(documents)
+
 
 async def test_a_topic_without_history_makes_all_topics_read_anew():
     topics = [_Topic("a"), _Topic("b")]
     topics[1].deaf = True
     seen: dict[str, list[int]] = {"a": [], "b": []}
-    followers: list[_follower.Follower[int]] = []
+    mirrors = {"a": relay.Mirror(), "b": relay.Mirror()}
+    followers: list[_follower.Follower] = []
 
     def read_all():
         for follower in followers:
             follower.restart(read_all=True)
 
+    def take(name, batch):
+        mirrors[name].apply(batch)
+        seen[name].extend(document.content for document in batch.documents)
+
     async def probe():
         pass
 
@@ -52,9 +65,9 @@
     followers.extend(
         _follower.Follower(
             topic,
+            mirrors[topic.name],
             health,
-            seen[topic.name].extend,
-            seen[topic.name].extend,
+            take,
             read_all,
             datetime.timedelta(),
         )
--- a/src/sassafrashold/platform/boot.py
+++ b/src/sassafrashold/platform/boot.py
@@ -54,11 +54,14 @@
     readiness: settings.Address
     """Where the platform asks whether the host takes callers."""
 
-    peers: settings.Address | None
+    peers: settings.Address
     """Where other hosts of the system connect."""
 
     seeds: tuple[settings.Address, ...]
-    """Addresses of other hosts; may be stale."""
+    """Addresses of up to three hosts for other hosts; may be stale."""
+
+    bootstrap: bool
+    """Whether the whole system starts for the first time."""
 
     store: settings.Address
     """The platform's store."""
@@ -95,18 +98,6 @@
     def seconds(self, name: str) -> datetime.timedelta:
         return datetime.timedelta(seconds=self.number(name))
 
-    def address(self, name: str) -> settings.Address:
-        value = self.text(name)
-        try:
-            return settings.Address.parse(value)
-        except ValueError:
-            raise _error(name, "IPv4 address and port", value) from None
-
-    def optional_address(self, name: str) -> settings.Address | None:
-        if not self._value_by_name.get(name):
-            return None
-        return self.address(name)
-
     def addresses(self, name: str) -> tuple[settings.Address, ...]:
         found = []
         for item in self._value_by_name.get(name, "").split(","):
@@ -118,6 +109,13 @@
                 raise _error(name, "IPv4 addresses and ports", item) from None
         return tuple(found)
 
+    def address(self, name: str) -> settings.Address:
+        value = self.text(name)
+        try:
+            return settings.Address.parse(value)
+        except ValueError:
+            raise _error(name, "IPv4 address and port", value) from None
+
 
 def path_from(environment: Mapping[str, str]) -> pathlib.Path:
     """Returns the path of the settings file."""
@@ -162,8 +160,9 @@
         ip=fields.text("ip"),
         clients=fields.address("listen.front"),
         readiness=fields.address("listen.ready"),
-        peers=fields.optional_address("listen.control"),
+        peers=fields.address("listen.control"),
         seeds=fields.addresses("seeds"),
+        bootstrap=value_by_name.get("bootstrap") == "true",
         store=fields.address("platform.address"),
         bounds=Bounds(
             drain=fields.milliseconds("bounds.drain_ms"),
--- a/src/sassafrashold/platform/documents.py
+++ b/src/sassafrashold/platform/documents.py
@@ -7,6 +7,8 @@
 
 from sassafrashold import directory
 from sassafrashold import documents
+from sassafrashold import front
+from sassafrashold import relay
 from sassafrashold import routing
 from sassafrashold import settings
 
@@ -94,6 +96,24 @@
     )
 
 
+def registered_host(name: str, spec: Any) -> front.RegisteredHost:
+    """Decodes the entry of a host of the system.
+
+    Raises:
+        DocumentError: A field is missing or wrong.
+    """
+    document = _object(name, spec)
+    text = documents.get(name, document, "address", str)
+    try:
+        address = settings.Address.parse(text)
+    except ValueError as error:
+        raise documents.invalid(name, f"address: {error}") from error
+    return front.RegisteredHost(
+        relay.Peer(name, documents.get(name, document, "zone", str), address),
+        documents.get(name, document, "beat", int),
+    )
+
+
 def _route(key: str, item: Mapping[str, Any]) -> routing.Route:
     document = dict(item)
     name = documents.get(key, document, "name", str)
--- a/src/sassafrashold/platform/tests/test_decoding.py
+++ b/src/sassafrashold/platform/tests/test_decoding.py
@@ -20,6 +20,7 @@
 ip=10.1.0.39
 listen.front=10.1.0.39:8226
 listen.ready=10.1.0.39:8227
+bootstrap=true
 listen.control=10.1.0.39:8224
 seeds=10.1.0.39:8224,10.2.0.33:8224
 bounds.drain_ms=3000
@@ -77,7 +78,9 @@
     values = boot.parse(_BOOT)
     assert values.clients == settings.Address("10.1.0.39", 8226)
     assert values.bounds.drain == datetime.timedelta(seconds=3)
+    assert values.peers == settings.Address("10.1.0.39", 8224)
     assert len(values.seeds) == 2
+    assert values.bootstrap
 
 
 @pytest.mark.parametrize(
--- /dev/null
+++ b/src/sassafrashold/relay/tests/test_copies_and_sources.py
@@ -0,0 +1,105 @@
+"""Guards against lost or repeated changes and zones without a reader."""
+
+from hypothesis import given
+from hypothesis import strategies
+
+from sassafrashold import relay
+from sassafrashold import settings
+
+
+def _document(name, content=0, deleted=False):
+    return relay.Document(name, content, deleted)
+
+
+def _all(mirror):
+    batch = mirror.since(None)
+    assert batch is not None
+    return {document.name: document for document in batch.documents}
+
+
+def test_an_asker_without_knowledge_gets_all():
+    mirror = relay.Mirror()
+    assert mirror.since(None) is None
+    mirror.apply(relay.Batch((_document("a"),), 5, whole=True))
+    assert mirror.since(None) == relay.Batch((_document("a"),), 5, whole=True)
+    assert mirror.since(5) is None
+
+
+def test_an_asker_gets_what_is_newer_only():
+    mirror = relay.Mirror()
+    mirror.apply(relay.Batch((), 5, whole=True))
+    mirror.apply(relay.Batch((_document("a", 1),), 7))
+    mirror.apply(relay.Batch((_document("a", deleted=True),), 9))
+    assert mirror.since(5) == relay.Batch(
+        (_document("a", 1), _document("a", deleted=True)), 9
+    )
+    assert mirror.since(7) == relay.Batch((_document("a", deleted=True),), 9)
+    assert mirror.since(9) is None
+
+
+def test_an_older_batch_changes_nothing():
+    mirror = relay.Mirror()
+    mirror.apply(relay.Batch((_document("a", 1),), 9, whole=True))
+    assert not mirror.apply(relay.Batch((_document("a", 0),), 7))
+    assert _all(mirror) == {"a": _document("a", 1)}
+
+
+def test_an_asker_from_before_a_whole_batch_gets_all():
+    mirror = relay.Mirror()
+    mirror.apply(relay.Batch((_document("a"),), 5, whole=True))
+    mirror.apply(relay.Batch((_document("b"),), 20, whole=True))
+    assert mirror.since(5) == relay.Batch((_document("b"),), 20, whole=True)
+
+
+@given(strategies.lists(strategies.integers(0, 3), max_size=40))
+def test_a_follower_that_asks_now_and_then_ends_with_the_same_copy(steps):
+    source = relay.Mirror()
+    copy = relay.Mirror()
+    source.apply(relay.Batch((), 1, whole=True))
+    for number, step in enumerate(steps):
+        name = f"d{step}"
+        source.apply(
+            relay.Batch((_document(name, number, number % 5 == 4),), number + 2)
+        )
+        if step == 0:
+            news = source.since(copy.revision)
+            if news is not None:
+                copy.apply(news)
+    news = source.since(copy.revision)
+    if news is not None:
+        copy.apply(news)
+    assert _all(copy) == _all(source)
+
+
+def _peers(count):
+    return [
+        relay.Peer(f"h{i}", "z", settings.Address("10.0.0.1", 80 + i))
+        for i in range(count)
+    ]
+
+
+def test_small_zones_read_the_store_themselves():
+    for count in range(1, relay.MIN_HOSTS_TO_RELAY):
+        for peer in _peers(count):
+            assert relay.sources_for(peer.host, _peers(count)) == ()
+
+
+def test_two_hosts_of_a_zone_read_the_store_for_the_others():
+    peers = _peers(9)
+    readers = [p.host for p in peers if not relay.sources_for(p.host, peers)]
+    assert readers == ["h0", "h1"]
+    for peer in peers[2:]:
+        sources = relay.sources_for(peer.host, peers)
+        assert {source.host for source in sources[:2]} == {"h0", "h1"}
+        assert peer not in sources
+
+
+def test_nobody_waits_in_a_circle_when_the_readers_are_gone():
+    peers = _peers(9)
+    for rank, peer in enumerate(peers):
+        ranks = [peers.index(s) for s in relay.sources_for(peer.host, peers)]
+        assert all(r < rank for r in ranks)
+
+
+def test_a_host_that_is_not_listed_yet_reads_the_store_itself():
+    assert relay.sources_for("new", _peers(9)) == ()
--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -48,8 +48,16 @@
 class Front:
     """One real process of the daemon."""
 
-    def __init__(self, folder: pathlib.Path, name: str, store: str) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        name: str,
+        store: str,
+        seeds: list[str],
+        zone: str = "z1",
+    ) -> None:
         self.name = name
+        self.peers = f"127.0.0.1:{free_port()}"
         self.url = f"http://127.0.0.1:{free_port()}"
         self.ready_url = f"http://127.0.0.1:{free_port()}/readiness"
         self._path = folder / f"{name}.conf"
@@ -58,12 +66,14 @@
             "\n".join(
                 (
                     f"node_name={name}",
-                    "zone=z1",
+                    f"zone={zone}",
                     # Each process has a metrics address of its own.
                     f"ip=127.0.0.{2 + int(name[-1])}",
                     f"listen.front={self.url.removeprefix('http://')}",
                     "listen.ready="
                     + self.ready_url.removeprefix("http://").partition("/")[0],
+                    f"listen.control={self.peers}",
+                    f"seeds={','.join(seeds)}",
                     "bounds.drain_ms=3000",
                     "bounds.grace_s=6",
                     "bounds.retry_budget_ratio=0.2",
@@ -143,7 +153,10 @@
         self.session = aiohttp.ClientSession()
         for number in range(self._front_count):
             front = Front(
-                self._folder, f"h{number}", f"127.0.0.1:{self._store_port}"
+                self._folder,
+                f"h{number}",
+                f"127.0.0.1:{self._store_port}",
+                [other.peers for other in self.fronts],
             )
             self.fronts.append(front)
             front.start()
--- a/tests/platform/test_front_processes.py
+++ b/tests/platform/test_front_processes.py
@@ -216,3 +216,36 @@
         line.get("outcome") == "leaf_failed" and line["route"] == "once"
         for line in lines
     )
+
+
+async def test_a_host_that_starts_without_the_store_copies_from_another(world):
+    front = world.fronts[1]
+    front.signal(signal.SIGKILL)
+    await front.exited(5)
+    world.store.away = True
+    front.start()
+    await world.ready(front)
+    assert (await world.ask("/all/x", "r1", front=1)).status == 200
+
+
+async def test_a_zone_of_many_hosts_reads_the_store_through_two(tmp_path):
+    async with platform_world.World(tmp_path, fronts=5) as world:
+        await asyncio.sleep(6)
+        assert "following host" in world.fronts[4].log()
+        world.store.count_by_call.clear()
+        world.routes.append(
+            platform_world.route("new", "/new/", service="single")
+        )
+        await world.configure()
+        for front in range(5):
+            await world.until_served("/new/x", timeout_s=2, front=front)
+        # Both readers end: the others find the store or each other.
+        for front in world.fronts[:2]:
+            front.signal(signal.SIGKILL)
+            await front.exited(5)
+        world.routes.append(
+            platform_world.route("more", "/more/", service="single")
+        )
+        await world.configure()
+        for front in (2, 3, 4):
+            await world.until_served("/more/x", timeout_s=3, front=front)
