Log why a request ended as it did, and which leafs are avoided

Each line of a request that was refused, failed, late or incomplete has its trail: extra calls, failures and calls still open, with leaf and time. Lines of one kind are bounded a second and say how many were left out.

--- a/src/sassafrashold/calls/_service_call.py
+++ b/src/sassafrashold/calls/_service_call.py
@@ -130,9 +130,10 @@
 
         Also for calls that end after the request was answered.
         """
-        duration = self._state.record(send.leaf.ref).ended(
-            send, now, self._latency.slow_from(now), failed
-        )
+        record = self._state.record(send.leaf.ref)
+        strikes = record.strikes
+        duration = record.ended(send, now, self._latency.slow_from(now), failed)
+        self._tell_if_avoided(send, strikes)
         if not failed:
             self._latency.record(duration, now)
 
@@ -179,7 +180,10 @@
     def note_given_up(self, send: Send, now: datetime.timedelta) -> None:
         """Notes in the leaf's record that a call was cancelled."""
         overdue = now - send.sent_at >= self._latency.overdue_from(now)
-        self._state.record(send.leaf.ref).gave_up(send, now, overdue)
+        record = self._state.record(send.leaf.ref)
+        strikes = record.strikes
+        record.gave_up(send, now, overdue)
+        self._tell_if_avoided(send, strikes)
 
     def release_open(self) -> tuple[Send, ...]:
         """Returns the open calls, which stay open without a taker."""
@@ -188,6 +192,11 @@
         self._open.clear()
         return remaining
 
+    def _tell_if_avoided(self, send: Send, strikes_before: int) -> None:
+        strikes = self._state.record(send.leaf.ref).strikes
+        if strikes > strikes_before and self._state.on_avoided is not None:
+            self._state.on_avoided(send.leaf.ref, strikes)
+
     def _may_send_more(self) -> bool:
         if self._sends >= _MAX_SENDS:
             return False
--- a/src/sassafrashold/calls/_state.py
+++ b/src/sassafrashold/calls/_state.py
@@ -1,5 +1,6 @@
 """What all calls of this host share: records, budgets, latencies, limits."""
 
+from collections.abc import Callable
 from collections.abc import Collection
 import dataclasses
 import datetime
@@ -121,6 +122,7 @@
         table: routing.RouteTable,
         share: ShareOfLimits,
         random_source: random.Random,
+        on_avoided: Callable[[directory_lib.LeafRef, int], None] | None = None,
     ) -> None:
         """Initializes the state.
 
@@ -130,7 +132,10 @@
             table: Limits of the services.
             share: This host's part of the limits.
             random_source: Breaks ties between leafs.
+            on_avoided: Called with a leaf that is no longer first choice and
+                its slow answers and failures in a row.
         """
+        self.on_avoided = on_avoided
         self._zone = own_zone
         self._directory = directory
         self._table = table
--- a/src/sassafrashold/front/_daemon.py
+++ b/src/sassafrashold/front/_daemon.py
@@ -15,6 +15,7 @@
 from sassafrashold import directory as directory_lib
 from sassafrashold import relay
 from sassafrashold import routing
+from sassafrashold import telemetry
 from sassafrashold.front import _interfaces
 from sassafrashold.front import _leaf_pool
 from sassafrashold.front import _metrics
@@ -39,6 +40,8 @@
 # Entries are listed again within this time after the store is back.
 _RELISTED_AFTER = datetime.timedelta(seconds=2)
 _BACKLOG = 64
+# Leafs pause often; the log keeps this many lines of that a second.
+_AVOIDED_LINES = 5
 
 
 class Daemon:
@@ -85,7 +88,9 @@
                 cold_slack=values.cold_slack,
             ),
             random_source,
+            self._log_avoided,
         )
+        self._avoided_lines = telemetry.LineBudget(_AVOIDED_LINES, clock)
         self._pool = _leaf_pool.LeafPool(protocol, clock)
         self._metrics = _metrics.FrontMetrics()
         self._log = _request_log.RequestLog(clock)
@@ -194,6 +199,19 @@
             self._view.forget_expired()
             self._pool.close_idle(self._idle_limit)
 
+    def _log_avoided(self, ref: directory_lib.LeafRef, strikes: int) -> None:
+        left_out = self._avoided_lines.admit("avoided")
+        if left_out is None:
+            return
+        _LOGGER.info(
+            "leaf avoided",
+            extra={
+                "leaf": ref.leaf_id,
+                "strikes": strikes,
+                "lines_left_out": left_out,
+            },
+        )
+
     def _idle_limit(self, ref: directory_lib.LeafRef) -> int:
         entry = self._directory.entry(ref.leaf_id)
         if entry is None or entry.ref != ref:
--- a/src/sassafrashold/front/_exchange.py
+++ b/src/sassafrashold/front/_exchange.py
@@ -13,6 +13,9 @@
 # themselves: their connection stays usable and their latency is learned.
 _LINGER = datetime.timedelta(milliseconds=250)
 _ZERO = datetime.timedelta()
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+# Lines in the record of one request.
+_MAX_TRAIL = 24
 
 
 class Exchange:
@@ -44,11 +47,16 @@
         self._results: list[tuple[calls.Send, calls.CallResult]] = []
         self._released: dict[calls.Send, calls.ServiceCall] = {}
         self._wake = asyncio.Event()
+        self._began = clock.monotonic()
+        self._trail: list[str] = []
 
     def dispatch(self, sends: Iterable[calls.Send]) -> None:
         """Sends calls."""
-        left = self._deadline - self._clock.monotonic()
+        now = self._clock.monotonic()
+        left = self._deadline - now
         for send in sends:
+            if send.extra or self._trail:
+                self._note(now, "extra call to", send, "")
             self._call_by_send[send] = self._pool.call(
                 send.leaf,
                 self._request,
@@ -57,6 +65,29 @@
                 functools.partial(self._ended, send),
             )
 
+    def trail(self) -> list[str]:
+        """Returns what was decided, and which calls are still open."""
+        now = self._clock.monotonic()
+        still_open = [
+            f"open for {_ms(now - send.sent_at)} ms: "
+            f"{send.leaf.service} {send.leaf.ref.leaf_id}"
+            for send in self._call_by_send
+        ]
+        return (self._trail + still_open)[:_MAX_TRAIL]
+
+    def _note(
+        self,
+        now: datetime.timedelta,
+        what: str,
+        send: calls.Send,
+        detail: str,
+    ) -> None:
+        if len(self._trail) < _MAX_TRAIL:
+            self._trail.append(
+                f"{_ms(now - self._began)} ms {what} {send.leaf.service} "
+                f"{send.leaf.ref.leaf_id}{detail}"
+            )
+
     async def wait(
         self, until: datetime.timedelta
     ) -> list[tuple[calls.Send, calls.CallResult]]:
@@ -107,5 +138,18 @@
                 failed=isinstance(result, calls.Failed),
             )
             return
+        if isinstance(result, calls.Failed):
+            status = f" status {result.answer.status}" if result.answer else ""
+            self._note(
+                self._clock.monotonic(),
+                f"{result.kind.value} at",
+                send,
+                f" after {_ms(self._clock.monotonic() - send.sent_at)} ms"
+                f"{status} {result.detail}".rstrip(),
+            )
         self._results.append((send, result))
         self._wake.set()
+
+
+def _ms(duration: datetime.timedelta) -> int:
+    return duration // _MILLISECOND
--- a/src/sassafrashold/front/_request_log.py
+++ b/src/sassafrashold/front/_request_log.py
@@ -11,6 +11,7 @@
 _LOGGER = logging.getLogger("sassafrashold.request")
 _LINES_PER_SECOND = 50
 _SAMPLED_LINES_PER_SECOND = 1
+_NEVER_MS = 10**9
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
@@ -46,6 +47,8 @@
             kind = reply.cause.value
         elif reply.missing:
             kind = "parts_missing"
+        elif duration // _MILLISECOND > reply.facts.get("target_ms", _NEVER_MS):
+            kind = "served_late"
         else:
             kind = "served"
         budget = self._samples if kind == "served" else self._failures
--- a/src/sassafrashold/front/_requests.py
+++ b/src/sassafrashold/front/_requests.py
@@ -5,6 +5,7 @@
 import datetime
 import enum
 import logging
+from typing import Any
 
 from sassafrashold import calls
 from sassafrashold import clock as clock_lib
@@ -59,7 +60,7 @@
     missing: tuple[str, ...] = ()
     """Shards that are not in a merged answer."""
 
-    facts: Mapping[str, object] = dataclasses.field(default_factory=dict)
+    facts: Mapping[str, Any] = dataclasses.field(default_factory=dict)
     """What decided the outcome; for logs."""
 
 
@@ -115,6 +116,8 @@
             "route": route.name,
             "configuration": configuration.version,
             "time_left_ms": clock_lib.to_ms(deadline - now),
+            "target_ms": clock_lib.to_ms(route.target_latency),
+            "services": services[:1] if len(services) == 1 else len(services),
             **reply.facts,
         }
         return dataclasses.replace(reply, facts=facts)
@@ -152,6 +155,7 @@
         except BaseException:
             exchange.cancel(plan.give_up(self._clock.monotonic()))
             raise
+        facts = {"trail": exchange.trail()}
         if outcome.enough:
             for send in plan.release_open():
                 exchange.release((send,), plan.call(send.shard))
@@ -163,13 +167,17 @@
                 tuple(headers.items()),
                 outcome.body,
                 missing=outcome.missing_services,
+                facts=facts,
             )
         exchange.cancel(plan.give_up(now))
+        facts["missing"] = list(outcome.missing_services)
         if not outcome.sent:
-            return self._refusal(503, Cause.NO_LEAF, _SOON)
-        if now >= end:
-            return _own_reply(504, Cause.DEADLINE)
-        return _own_reply(502, Cause.TOO_FEW_PARTS)
+            reply = self._refusal(503, Cause.NO_LEAF, _SOON)
+        elif now >= end:
+            reply = _own_reply(504, Cause.DEADLINE)
+        else:
+            reply = _own_reply(502, Cause.TOO_FEW_PARTS)
+        return dataclasses.replace(reply, facts=facts)
 
     async def _call_one(
         self,
@@ -196,8 +204,11 @@
             while call.is_open:
                 now = self._clock.monotonic()
                 if now >= end:
+                    facts = {"trail": exchange.trail()}
                     exchange.cancel(call.give_up(now))
-                    return _own_reply(504, Cause.DEADLINE)
+                    return dataclasses.replace(
+                        _own_reply(504, Cause.DEADLINE), facts=facts
+                    )
                 next_time = call.next_time()
                 until = end if next_time is None else min(end, next_time)
                 for send, result in await exchange.wait(until):
@@ -207,7 +218,10 @@
                             call.succeeded(send, now)
                             exchange.release(call.release_open(), call)
                             return Reply(
-                                answer.status, answer.headers(), answer.body
+                                answer.status,
+                                answer.headers(),
+                                answer.body,
+                                facts={"trail": exchange.trail()},
                             )
                         case calls.Failed() as failure:
                             retry = call.failed(send, failure, now)
@@ -219,7 +233,9 @@
         except BaseException:
             exchange.cancel(call.give_up(self._clock.monotonic()))
             raise
-        return self._failure(call)
+        return dataclasses.replace(
+            self._failure(call), facts={"trail": exchange.trail()}
+        )
 
     def _failure(self, call: calls.ServiceCall) -> Reply:
         failure = call.last_failure
