--- /dev/null
+++ b/src/sassafrashold/logs/main.py
@@ -0,0 +1,61 @@
+"""The binary `sassafras-logs`."""
+
+from collections.abc import Iterator
+import sys
+from typing import TextIO
+
+import click
+
+from sassafrashold import logs
+
+_EXIT_NOT_FOUND = 1
+
+
+@click.group(name="sassafras-logs")
+def main() -> None:
+    """Explains requests from the log lines of all hosts."""
+
+
+@main.command()
+@click.argument("request_id")
+@click.argument("files", type=click.File(errors="replace"), nargs=-1)
+def story(request_id: str, files: tuple[TextIO, ...]) -> None:
+    """Tells what happened to one request.
+
+    Reads FILES, or standard input without any.
+    """
+    text = logs.story(logs.parse(_texts(files)), request_id)
+    if not text:
+        click.echo(
+            f"no line names request {request_id}: it was served whole and in "
+            "time, or its line was left out",
+            err=True,
+        )
+        sys.exit(_EXIT_NOT_FOUND)
+    for line in text:
+        click.echo(line)
+
+
+@main.command()
+@click.option("--start", default="", help="First time, as in the lines.")
+@click.option("--end", default="~", help="Last time, as in the lines.")
+@click.argument("files", type=click.File(errors="replace"), nargs=-1)
+def failures(start: str, end: str, files: tuple[TextIO, ...]) -> None:
+    """Counts requests not served whole and in time, by cause and route.
+
+    Reads FILES, or standard input without any.
+    """
+    for found in logs.failures(logs.parse(_texts(files)), start, end):
+        click.echo(
+            f"{found.count:6d} {found.outcome:16s} {found.route:16s} "
+            f"for example {found.example}"
+        )
+
+
+def _texts(files: tuple[TextIO, ...]) -> Iterator[str]:
+    for file in files or (click.get_text_stream("stdin", errors="replace"),):
+        yield from file
+
+
+if __name__ == "__main__":
+    main()
