--- a/src/sassafrashold/logs/_reports.py
+++ b/src/sassafrashold/logs/_reports.py
@@ -61,7 +61,7 @@
         for step in line.fields.get("trail", ())
         for word in str(step).split()
     }
-    text = []
+    text: list[str] = []
     for line in own:
         before = _last_beliefs(kept, line)
         text.extend(f"  before: {_show(item)}" for item in before)
--- a/src/sassafrashold/logs/main.py
+++ b/src/sassafrashold/logs/main.py
@@ -53,7 +53,9 @@
 
 
 def _texts(files: tuple[TextIO, ...]) -> Iterator[str]:
-    for file in files or (click.get_text_stream("stdin", errors="replace"),):
+    if not files:
+        yield from sys.stdin
+    for file in files:
         yield from file
 
 
