--- a/src/sassafrashold/errors.py
+++ b/src/sassafrashold/errors.py
@@ -6,7 +6,7 @@
 
 
 class ErrorCode(enum.Enum):
-    """Codes of refusals and failures; documented in docs/operations.md."""
+    """Codes of refusals and failures; documented in docs/OPERATIONS.md."""
 
     BAD_REQUEST = "BAD_REQUEST"
     UNKNOWN_FIELD = "UNKNOWN_FIELD"
