--- a/src/sassafrashold/calls/_leaf_record.py
+++ b/src/sassafrashold/calls/_leaf_record.py
@@ -15,10 +15,6 @@
 _STRIKE_CALLS = 1.5
 _MAX_GAP = datetime.timedelta(seconds=2)
 _GAP_WEIGHT = 0.25
-# A leaf that fails part of its requests answers others between, which end its
-# strikes. Failures therefore also count on their own and fade with time.
-_FAILURES_HALF_LIFE = datetime.timedelta(seconds=3)
-_MANY_FAILURES = 1.5
 
 
 class LeafRecord:
@@ -32,8 +28,6 @@
 
     __slots__ = (
         "_avoid_until",
-        "_failed_at",
-        "_failures",
         "_gap",
         "_last_sent",
         "_last_strike",
@@ -50,8 +44,6 @@
         self._last_strike = _ZERO
         self._last_sent: datetime.timedelta | None = None
         self._gap = _ZERO
-        self._failures = 0.0
-        self._failed_at = _ZERO
 
     @property
     def open_calls(self) -> int:
@@ -91,9 +83,6 @@
             The duration of the call.
         """
         sent = self.sent_by_call.pop(call, now)
-        if failed:
-            self._failures = self.failures(now) + 1
-            self._failed_at = now
         if failed or now - sent >= slow_from:
             # Calls sent before the last strike met the same trouble.
             if sent >= self._last_strike:
@@ -117,13 +106,6 @@
         if overdue and sent is not None and sent >= self._last_strike:
             self._strike(now)
 
-    def failures(self, now: datetime.timedelta) -> float:
-        """Returns the failures of late; each counts half after 3 s."""
-        if not self._failures:
-            return 0.0
-        age = (now - self._failed_at) / _FAILURES_HALF_LIFE
-        return float(self._failures * 0.5**age)
-
     def is_avoided(
         self, now: datetime.timedelta, overdue_from: datetime.timedelta
     ) -> bool:
@@ -135,8 +117,6 @@
         """
         if now < self._avoid_until:
             return True
-        if self.failures(now) >= _MANY_FAILURES:
-            return True
         if not self.sent_by_call:
             return False
         oldest = next(iter(self.sent_by_call.values()))
--- a/src/sassafrashold/calls/_state.py
+++ b/src/sassafrashold/calls/_state.py
@@ -233,7 +233,7 @@
             if avoided and only_healthy:
                 continue
             rank = (
-                float(avoided) * (1 + record.strikes + record.failures(now)),
+                float(avoided) * (1 + record.strikes),
                 float(record.open_calls // max(entry.slots, 1)),
                 float(entry.zone != self._zone),
                 float(record.open_calls),
