Send no retry for a shard that is already in

When a hedge had answered and the first call failed later, its failure counted as the only run so far and a retry was sent. Ruled out: leafs that ran a request they rejected (the third leaf was sent after the answer). Change: an answered call sends nothing more. The test failed before.

--- a/src/sassafrashold/calls/_service_call.py
+++ b/src/sassafrashold/calls/_service_call.py
@@ -65,6 +65,7 @@
         self._open: dict[Send, None] = {}
         self._may_have_run = 0
         self._arrived = False
+        self._answered = False
         self._sends = 0
         self._hedge_at: datetime.timedelta | None = None
         self.last_failure: _messages.Failed | None = None
@@ -119,8 +120,10 @@
         return self._send(leaf, now, extra=True)
 
     def succeeded(self, send: Send, now: datetime.timedelta) -> None:
-        """Notes that a call was answered."""
+        """Notes that a call was answered; no other is sent from now on."""
         self._open.pop(send, None)
+        self._answered = True
+        self._may_have_run += 1
         self.note_end(send, now, failed=False)
 
     def note_end(
@@ -198,7 +201,7 @@
             self._state.on_avoided(send.leaf.ref, strikes)
 
     def _may_send_more(self) -> bool:
-        if self._sends >= _MAX_SENDS:
+        if self._answered or self._sends >= _MAX_SENDS:
             return False
         running = self._may_have_run + len(self._open)
         if not self._route.idempotent:
--- a/src/sassafrashold/calls/tests/test_gathered_answers.py
+++ b/src/sassafrashold/calls/tests/test_gathered_answers.py
@@ -117,3 +117,16 @@
         reverse=True,
     )
     assert calls.greatest_records(parts, 5) == b"".join(records[:5])
+
+
+def test_a_call_that_fails_after_its_shard_is_in_is_not_repeated():
+    # Seen on a drawn day of toitsure-grown (fresh-d90e, 30.3 s): a leaf failed
+    # after the hedge had answered, and a third leaf ran the request.
+    world = call_world.World(shards=2)
+    world.fund(20)
+    plan = world.plan()
+    first = next(s for s in plan.start(0 * MS) if s.shard == 0)
+    hedge = next(s for s in plan.tick(80 * MS) if s.shard == 0)
+    plan.ended(hedge, call_world.answered(), 85 * MS)
+    failure = call_world.failed(calls.FailureKind.ERROR)
+    assert plan.ended(first, failure, 86 * MS) == []
