--- a/src/sassafrashold/standins/records_leaf.py
+++ b/src/sassafrashold/standins/records_leaf.py
@@ -35,7 +35,8 @@
     """Serves records over HTTP and keeps what it ran.
 
     Faults are set by the owner: `work` is how long a request takes,
-    `lose_answers` resets connections after the run, `reject` runs nothing.
+    `lose_answers` resets connections after the run, `reject` runs nothing,
+    `listed_address` is the address of a proxy in front of the leaf.
     """
 
     def __init__(self, leaf_id: str, service: str, zone: str) -> None:
@@ -55,6 +56,7 @@
         self.runs: list[Run] = []
         self.cancelled = 0
         self.address = ""
+        self.listed_address: str | None = None
         self._runner: web.ServerRunner | None = None
 
     async def start(self, ip: str = "127.0.0.1") -> None:
@@ -80,7 +82,7 @@
         """Returns what the leaf writes of itself into the store."""
         return {
             "service": self.service,
-            "address": self.address,
+            "address": self.listed_address or self.address,
             "zone": self.zone,
             "version": "v1",
             "slots": 3,
--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -14,6 +14,8 @@
 from aiohttp import web
 import yarl
 
+from sassafrashold import settings
+from sassafrashold.standins import _proxy
 from sassafrashold.standins import objects_store
 from sassafrashold.standins import records_leaf
 
@@ -116,9 +118,13 @@
 class World:
     """Store, leafs and processes; an asynchronous context manager."""
 
-    def __init__(self, folder: pathlib.Path, fronts: int = 1) -> None:
+    def __init__(
+        self, folder: pathlib.Path, fronts: int = 1, proxied: bool = False
+    ) -> None:
         self._folder = folder
         self._front_count = fronts
+        self._proxied = proxied
+        self.links: list[_proxy.Link] = []
         self.store = objects_store.ObjectsStore()
         self.leafs = [
             records_leaf.RecordsLeaf(f"{service}-{zone}", service, zone)
@@ -148,14 +154,21 @@
         self._store_port = self._runner.addresses[0][1]
         for leaf in self.leafs:
             await leaf.start()
+            if self._proxied:
+                leaf.listed_address = await self._link(
+                    leaf.leaf_id, leaf.address
+                )
             await self.list_leaf(leaf)
         await self.configure()
         self.session = aiohttp.ClientSession()
         for number in range(self._front_count):
+            store = f"127.0.0.1:{self._store_port}"
+            if self._proxied:
+                store = await self._link(f"store-{number}", store)
             front = Front(
                 self._folder,
                 f"h{number}",
-                f"127.0.0.1:{self._store_port}",
+                store,
                 [other.peers for other in self.fronts],
             )
             self.fronts.append(front)
@@ -170,10 +183,25 @@
                 front.process.kill()
                 await front.exited(5)
         await self.session.close()
+        for link in self.links:
+            await link.close()
         for leaf in self.leafs:
             await leaf.stop()
         await self._runner.cleanup()
 
+    async def _link(self, name: str, target: str) -> str:
+        """Puts a proxy in front of an address; returns the proxy's."""
+        listen = f"127.0.0.1:{free_port()}"
+        link = _proxy.Link(
+            name,
+            settings.Address.parse(listen),
+            settings.Address.parse(target),
+            1,
+        )
+        await link.start()
+        self.links.append(link)
+        return listen
+
     def leaf(self, service: str, zone: str) -> records_leaf.RecordsLeaf:
         """Returns a leaf."""
         return next(
