--- a/src/sassafrashold/logs/_reports.py
+++ b/src/sassafrashold/logs/_reports.py
@@ -1,6 +1,8 @@
 """What log lines say about one request, or about all that failed."""
 
 import collections
+from collections.abc import Callable
+from collections.abc import Hashable
 from collections.abc import Iterable
 import dataclasses
 
@@ -67,14 +69,18 @@
         text.extend(f"  before: {_show(item)}" for item in before)
         text.append(_show(line))
         text.extend(f"  {step}" for step in line.fields.get("trail", ()))
-        text.extend(
-            f"  about a leaf: {_show(item)}"
-            for item in kept
-            if item.host == line.host
-            and item.request is None
-            and item.fields.get("leaf") in leafs
-            and item.time <= line.time
+        about_leafs = _last(
+            (
+                item
+                for item in kept
+                if item.host == line.host
+                and item.request is None
+                and item.fields.get("leaf") in leafs
+                and item.time <= line.time
+            ),
+            lambda item: (item.message, item.fields["leaf"]),
         )
+        text.extend(f"  about a leaf: {_show(item)}" for item in about_leafs)
     return text
 
 
@@ -109,14 +115,24 @@
     lines: list[_lines.Line], of: _lines.Line
 ) -> list[_lines.Line]:
     """Returns the last line of each kind of belief of a host before a line."""
-    last_by_message = {
-        line.message: line
-        for line in lines
-        if line.host == of.host
-        and line.message in _BELIEFS
-        and line.time <= of.time
-    }
-    return sorted(last_by_message.values(), key=lambda line: line.time)
+    return _last(
+        (
+            line
+            for line in lines
+            if line.host == of.host
+            and line.message in _BELIEFS
+            and line.time <= of.time
+        ),
+        lambda line: line.message,
+    )
+
+
+def _last(
+    lines: Iterable[_lines.Line], key: Callable[[_lines.Line], Hashable]
+) -> list[_lines.Line]:
+    """Returns the last line of each key, in order of time."""
+    last_by_key = {key(line): line for line in lines}
+    return sorted(last_by_key.values(), key=lambda line: line.time)
 
 
 def _show(line: _lines.Line) -> str:
