Let the metrics port be chosen; remove what nothing uses

Removed: warm-up notes of answers (leafs tell it in health answers, which are not asked for), a gauge that was never set. prefix in place of the wire's name.

--- a/src/sassafrashold/calls/_messages.py
+++ b/src/sassafrashold/calls/_messages.py
@@ -57,9 +57,6 @@
     encoded: bool
     """Whether the body has a content encoding, so is not the leaf's own."""
 
-    cold_for: datetime.timedelta | None
-    """How much longer the leaf is cold, if it says so."""
-
     @property
     def succeeded(self) -> bool:
         """Whether this is a success that a caller can use."""
--- a/src/sassafrashold/calls/tests/call_world.py
+++ b/src/sassafrashold/calls/tests/call_world.py
@@ -49,7 +49,7 @@
         self.route = routing.Route(
             name="r",
             host="h",
-            path_prefix="/",
+            prefix="/",
             target=self.gather,
             idempotent=idempotent,
             max_leafs=max_leafs,
@@ -144,7 +144,6 @@
             signature=signature,
             not_run=False,
             encoded=False,
-            cold_for=None,
         )
     )
 
--- a/src/sassafrashold/directory/_directory.py
+++ b/src/sassafrashold/directory/_directory.py
@@ -70,7 +70,6 @@
         self._ids_by_service: dict[str, set[str]] = {}
         self._zones_out: frozenset[str] = frozenset()
         self._store_away = False
-        self.loaded = False
 
     @property
     def zones_out(self) -> frozenset[str]:
@@ -109,7 +108,6 @@
                 self._remove(leaf_id, now)
         for entry in listed.values():
             ended.extend(self._see(entry, now))
-        self.loaded = True
         return ended
 
     def apply(
@@ -183,17 +181,6 @@
         leaf = self._leaf_by_id.get(leaf_id)
         return leaf is not None and now < leaf.cold_until
 
-    def note_cold(
-        self,
-        leaf_id: str,
-        cold_for: datetime.timedelta,
-        now: datetime.timedelta,
-    ) -> None:
-        """Notes what a leaf's own answer says of its warm-up."""
-        leaf = self._leaf_by_id.get(leaf_id)
-        if leaf is not None:
-            leaf.cold_until = max(leaf.cold_until, now + cold_for)
-
     def _see(
         self, entry: _entries.LeafEntry, now: datetime.timedelta
     ) -> list[_entries.LeafRef]:
--- a/src/sassafrashold/directory/tests/test_who_may_get_work.py
+++ b/src/sassafrashold/directory/tests/test_who_may_get_work.py
@@ -107,5 +107,8 @@
     leafs = _directory(_entry("a", cold=3))
     assert leafs.is_cold("a", _at(2.9))
     assert not leafs.is_cold("a", _at(3))
-    leafs.note_cold("a", _at(2), _at(10))
+    # An entry that says no more of it changes nothing.
+    leafs.apply(directory.LeafSeen(_entry("a")), _at(1))
+    assert leafs.is_cold("a", _at(2.9))
+    leafs.apply(directory.LeafSeen(_entry("a", cold=2)), _at(10))
     assert leafs.is_cold("a", _at(11.9))
--- a/src/sassafrashold/front/_daemon.py
+++ b/src/sassafrashold/front/_daemon.py
@@ -106,10 +106,11 @@
         self._view = _view.View(
             topics, self._table, self._directory, self._state, self._pool, clock
         )
+        self._peer_client = _peers.PeerClient(self._view)
         self._sourcing = _sourcing.Sourcing(
             self._view,
             topics,
-            _peers.PeerClient(self._view),
+            self._peer_client,
             [seed for seed in values.seeds if seed != values.peers],
         )
         self._peer_server = _peers.PeerServer(
@@ -156,6 +157,7 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         for runner in runners:
             await runner.cleanup()
+        await self._peer_client.close()
         self._pool.close()
 
     async def _guard(self, task: Coroutine[Any, Any, None]) -> None:
--- a/src/sassafrashold/front/_leaf_connection.py
+++ b/src/sassafrashold/front/_leaf_connection.py
@@ -53,8 +53,6 @@
         self._on_result: Callable[[calls.CallResult], None] | None = None
         self._ended_cleanly = False
         self.keep_open = _DEFAULT_KEEP_OPEN - _CLOSE_MARGIN
-        self.requests = 0
-        self.on_closed: Callable[[LeafConnection], None] | None = None
 
     @property
     def is_idle(self) -> bool:
@@ -95,7 +93,6 @@
         self._body_bytes = 0
         self._request_id = request_id
         self._on_result = on_result
-        self.requests += 1
         if self.transport is not None:
             self.transport.write(data)
 
@@ -141,8 +138,6 @@
                 self._finish_at_end()
             if self._on_result is not None:
                 self._fail(f"connection ended: {exc}")
-        if self.on_closed is not None:
-            self.on_closed(self)
 
     def _finish_at_end(self) -> None:
         """Completes an answer without length: its connection ends it."""
--- a/src/sassafrashold/front/_metrics.py
+++ b/src/sassafrashold/front/_metrics.py
@@ -52,7 +52,6 @@
                 ("sassafras_leafs", "Leafs that are listed."),
                 ("sassafras_hosts", "Live hosts of the system."),
                 ("sassafras_ready", "1 if callers may be sent here."),
-                ("sassafras_store_calls", "Calls to the store so far."),
                 ("sassafras_store_away", "1 if the store does not answer."),
                 ("sassafras_leaf_connections", "Connections opened so far."),
                 ("sassafras_log_lines_left_out", "Log lines left out."),
--- a/src/sassafrashold/platform/documents.py
+++ b/src/sassafrashold/platform/documents.py
@@ -47,7 +47,7 @@
     return routing.Configuration(
         version=documents.get(key, document, "version", int),
         routes_by_host={
-            host: tuple(sorted(routes, key=lambda r: -len(r.path_prefix)))
+            host: tuple(sorted(routes, key=lambda r: -len(r.prefix)))
             for host, routes in routes_by_host.items()
         },
         limits_by_service=limits_by_service,
@@ -124,7 +124,7 @@
     return routing.Route(
         name=name,
         host=documents.get(key, document, "host", str).lower(),
-        path_prefix=documents.get(key, document, "path_prefix", str),
+        prefix=documents.get(key, document, "path_prefix", str),
         target=target,
         idempotent=kind == _IDEMPOTENT or isinstance(target, routing.Gather),
         max_leafs=max(int(_number(key, document, "attempts", 1)), 1),
--- a/src/sassafrashold/platform/main.py
+++ b/src/sassafrashold/platform/main.py
@@ -27,8 +27,16 @@
 _METRICS_PORT = 9464
 
 
-def front_settings(values: boot.HostSettings) -> front.FrontSettings:
-    """Returns the daemon's settings on this host."""
+def front_settings(
+    values: boot.HostSettings, metrics_port: int
+) -> front.FrontSettings:
+    """Returns the daemon's settings on this host.
+
+    Args:
+        values: What the platform says.
+        metrics_port: Where metrics are read; 0 for nowhere.
+    """
+    metrics = settings.Address(values.ip, metrics_port)
     return front.FrontSettings(
         host=values.host,
         zone=values.zone,
@@ -38,7 +46,7 @@
         peers=values.peers,
         seeds=values.seeds,
         bootstrap=values.bootstrap,
-        metrics=settings.Address(values.ip, _METRICS_PORT),
+        metrics=metrics if metrics_port else None,
         leaf_drain=values.bounds.drain,
         grace=values.bounds.grace,
         extra_calls_ratio=values.bounds.extra_calls_ratio,
@@ -48,7 +56,9 @@
     )
 
 
-async def _run(values: boot.HostSettings, path: pathlib.Path) -> None:
+async def _run(
+    values: boot.HostSettings, path: pathlib.Path, metrics_port: int
+) -> None:
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -57,7 +67,7 @@
     clock = clock_lib.SystemClock()
     client = store_client.StoreClient(values.store)
     daemon = front.Daemon(
-        front_settings(values),
+        front_settings(values, metrics_port),
         wire,
         front.Topics(
             topics.ConfigurationTopic(client),
@@ -94,6 +104,13 @@
     help=f"Settings file; {boot.PATH_VARIABLE} names it by default.",
 )
 @click.option("--check", is_flag=True, help="Check the settings and exit.")
+@click.option(
+    "--metrics-port",
+    type=click.IntRange(0, 65535),
+    default=_METRICS_PORT,
+    show_default=True,
+    help="Port of the host's address where metrics are read; 0 for nowhere.",
+)
 @click.option(
     "--log-level",
     type=click.Choice(["DEBUG", "INFO", "WARNING", "ERROR"]),
@@ -101,7 +118,9 @@
     show_default=True,
     help="Lowest level that is logged.",
 )
-def main(path: pathlib.Path | None, check: bool, log_level: str) -> None:
+def main(
+    path: pathlib.Path | None, check: bool, metrics_port: int, log_level: str
+) -> None:
     """Serves callers and calls leafs on the users' platform."""
     if path is None:
         path = boot.path_from(os.environ)
@@ -119,7 +138,7 @@
         log_level,
         telemetry.NonBlockingHandler(sys.stdout),
     )
-    asyncio.run(_run(values, path))
+    asyncio.run(_run(values, path, metrics_port))
 
 
 if __name__ == "__main__":
--- a/src/sassafrashold/platform/wire.py
+++ b/src/sassafrashold/platform/wire.py
@@ -15,7 +15,6 @@
 _EXPECT_LEAF = "Expect-Instance"
 _SIGNATURE = "Server-Stamp"
 _NOT_RUN = "Not-Executed"
-_COLD = "Cold-Ms"
 _RETRY_AFTER = "Retry-After"
 _PARTS = "Part-Stamps"
 _MISSING = "Missing-Parts"
@@ -54,7 +53,6 @@
 _DEADLINE_KEY = _DEADLINE.lower().encode()
 _SIGNATURE_KEY = _SIGNATURE.lower().encode()
 _NOT_RUN_KEY = _NOT_RUN.lower().encode()
-_COLD_KEY = _COLD.lower().encode()
 
 RawHeaders = Sequence[tuple[bytes, bytes]]
 
@@ -147,7 +145,6 @@
     """
     value_by_name = {name.lower(): value for name, value in headers}
     encoding = value_by_name.get(b"content-encoding", b"identity")
-    cold = value_by_name.get(_COLD_KEY)
     answer = calls.LeafAnswer(
         status=status,
         headers=functools.partial(_returned_headers, headers),
@@ -155,7 +152,6 @@
         signature=_text(value_by_name.get(_SIGNATURE_KEY)),
         not_run=_NOT_RUN_KEY in value_by_name,
         encoded=encoding.strip().lower() != b"identity",
-        cold_for=_duration_ms(_text(cold)) if cold else None,
     )
     if status == _WRONG_LEAF_STATUS:
         return calls.Failed(calls.FailureKind.WRONG_LEAF, answer)
--- a/src/sassafrashold/routing/_configuration.py
+++ b/src/sassafrashold/routing/_configuration.py
@@ -59,7 +59,7 @@
     host: str
     """Value of the Host header, in lower case, without port."""
 
-    path_prefix: str
+    prefix: str
     """Starts and ends with a slash."""
 
     target: Target
--- a/src/sassafrashold/routing/_table.py
+++ b/src/sassafrashold/routing/_table.py
@@ -60,7 +60,7 @@
             return None
         name = host.partition(":")[0].lower()
         for route in self._current.routes_by_host.get(name, ()):
-            if path.startswith(route.path_prefix):
+            if path.startswith(route.prefix):
                 return route
         return None
 
--- a/src/sassafrashold/routing/tests/test_routes_and_versions.py
+++ b/src/sassafrashold/routing/tests/test_routes_and_versions.py
@@ -18,7 +18,7 @@
     return routing.Route(
         name=name,
         host="a.example",
-        path_prefix=prefix,
+        prefix=prefix,
         target=target or routing.SingleService(name),
         idempotent=True,
         max_leafs=2,
@@ -29,7 +29,7 @@
 
 
 def _configuration(version, *routes):
-    ordered = sorted(routes, key=lambda r: -len(r.path_prefix))
+    ordered = sorted(routes, key=lambda r: -len(r.prefix))
     return routing.Configuration(
         version=version,
         routes_by_host={"a.example": tuple(ordered)},
--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -60,6 +60,7 @@
     ) -> None:
         self.name = name
         self.peers = f"127.0.0.1:{free_port()}"
+        self.metrics_port = free_port()
         self.url = f"http://127.0.0.1:{free_port()}"
         self.ready_url = f"http://127.0.0.1:{free_port()}/readiness"
         self._path = folder / f"{name}.conf"
@@ -69,8 +70,7 @@
                 (
                     f"node_name={name}",
                     f"zone={zone}",
-                    # Each process has a metrics address of its own.
-                    f"ip=127.0.0.{2 + int(name[-1])}",
+                    "ip=127.0.0.1",
                     f"listen.front={self.url.removeprefix('http://')}",
                     "listen.ready="
                     + self.ready_url.removeprefix("http://").partition("/")[0],
@@ -94,7 +94,13 @@
         environment = {**os.environ, "SASSAFRASHOLD_BOOT": str(self._path)}
         with self._log.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "sassafrashold.platform.main"],
+                [
+                    sys.executable,
+                    "-m",
+                    "sassafrashold.platform.main",
+                    "--metrics-port",
+                    str(self.metrics_port),
+                ],
                 env=environment,
                 stdout=log,
                 stderr=log,
@@ -173,8 +179,12 @@
             )
             self.fronts.append(front)
             front.start()
-        for front in self.fronts:
-            await self.ready(front)
+        try:
+            for front in self.fronts:
+                await self.ready(front)
+        except TimeoutError:
+            await self.__aexit__()
+            raise
         return self
 
     async def __aexit__(self, *_: object) -> None:
--- a/tests/platform/test_front_processes.py
+++ b/tests/platform/test_front_processes.py
@@ -249,3 +249,14 @@
         await world.configure()
         for front in (2, 3, 4):
             await world.until_served("/more/x", timeout_s=3, front=front)
+
+
+async def test_metrics_count_requests_by_cause(world):
+    await world.ask("/one/x", "r1")
+    await world.ask("/none/x", "r2")
+    port = world.fronts[0].metrics_port
+    async with world.session.get(f"http://127.0.0.1:{port}/metrics") as answer:
+        text = await answer.text()
+    assert 'sassafras_requests_total{cause="",status="200"} 1.0' in text
+    assert 'sassafras_requests_total{cause="no_route",status="404"}' in text
+    assert "sassafras_ready 1.0" in text
