--- a/src/sassafrashold/front/_requests.py
+++ b/src/sassafrashold/front/_requests.py
@@ -22,7 +22,7 @@
 # An answer about to miss the caller's deadline is sent this much earlier.
 _DEADLINE_MARGIN = datetime.timedelta(milliseconds=30)
 _MAX_DEADLINE_MARGIN_SHARE = 0.1
-# Without a deadline of the caller the timeout of the route holds.
+# A busy leaf has answered a few requests after this time.
 _SOON = datetime.timedelta(milliseconds=100)
 # Time after which a host has usually read its first configuration.
 _UNTIL_CONFIGURED = datetime.timedelta(milliseconds=500)
--- a/src/sassafrashold/front/_sourcing.py
+++ b/src/sassafrashold/front/_sourcing.py
@@ -98,6 +98,7 @@
         """Follows hosts until each of them has failed in a row."""
         failures = 0
         position = 0
+        following = ""
         while failures < len(self._sources):
             source = self._sources[position % len(self._sources)]
             try:
@@ -110,10 +111,10 @@
                     extra={"peer": source.host, "cause": error.message},
                 )
             else:
-                if failures or not position:
-                    position = position or len(self._sources)
-                    _LOGGER.info("following host", extra={"peer": source.host})
                 failures = 0
+                if source.host != following:
+                    following = source.host
+                    _LOGGER.info("following host", extra={"peer": following})
 
     async def _read_store(self, at_most: datetime.timedelta | None) -> None:
         """Reads the store for a time, or until there are hosts to follow."""
