--- a/src/sassafrashold/front/_registry.py
+++ b/src/sassafrashold/front/_registry.py
@@ -18,6 +18,9 @@
 _READ_INTERVAL = datetime.timedelta(seconds=5)
 # A host that has not written for three intervals is gone.
 _SILENT_AFTER = 3 * _BEAT_INTERVAL
+# Nothing expires in the store by itself: entries of hosts that are silent for
+# this long are removed by the live host that is first by name.
+_REMOVED_AFTER = datetime.timedelta(hours=1)
 # Assumed until the list is read, so that a new host takes too little.
 _ASSUMED_HOSTS = 16
 
@@ -64,6 +67,28 @@
         self._seen_by_host = seen_by_host
         return tuple(peer_by_host[name] for name in sorted(peer_by_host))
 
+    def removable(self, now: datetime.timedelta) -> tuple[str, ...]:
+        """Returns the hosts whose entries this host has to remove.
+
+        Args:
+            now: Monotonic time.
+        """
+        first_live = min(
+            (
+                name
+                for name, (_, changed) in self._seen_by_host.items()
+                if now - changed < _SILENT_AFTER
+            ),
+            default=None,
+        )
+        if first_live != self._own.host:
+            return ()
+        return tuple(
+            name
+            for name, (_, changed) in self._seen_by_host.items()
+            if now - changed >= _REMOVED_AFTER
+        )
+
 
 class RegistryTask:
     """Writes the entry of this host and reads those of the others."""
@@ -108,6 +133,7 @@
             now = self._clock.monotonic()
             if written is None or now - written >= _BEAT_INTERVAL:
                 written = now if await self._write() else written
+                await self._remove_old()
             if self._bootstrap:
                 await asyncio.sleep(_BOOTSTRAP_WAIT.total_seconds())
                 self._bootstrap = False
@@ -129,6 +155,18 @@
             return False
         return True
 
+    async def _remove_old(self) -> None:
+        for host in self._live.removable(self._clock.monotonic()):
+            try:
+                await self._registry.remove(host)
+            except errors.StoreError as error:
+                _LOGGER.info(
+                    "old entry not removed",
+                    extra={"entry": host, "cause": error.message},
+                )
+                return
+            _LOGGER.info("old entry removed", extra={"entry": host})
+
     async def _hosts(self) -> tuple[_interfaces.RegisteredHost, ...]:
         """Returns all entries; none if the store does not answer."""
         try:
