Pick ports of test processes outside the ephemeral range

Its port was picked by binding port 0, so it lay in the range of outgoing connections, and a connection of the test took it before the process bound it. Reproduced: 1 of 50 starts of five hosts ended with 'address already in use'. Change: ports below the ephemeral range, each handed out once; a start that fails because a process ended says so with the last lines of its log.

--- a/src/sassafrashold/standins/tests/test_leaf_keeps_its_bounds_and_record.py
+++ b/src/sassafrashold/standins/tests/test_leaf_keeps_its_bounds_and_record.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import datetime
-import socket
 import time
 
 import aiohttp
@@ -15,12 +14,7 @@
 from sassafrashold.standins import _leaf_server
 from sassafrashold.standins import _profile
 from sassafrashold.standins import _waiting
-
-
-def _free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+from sassafrashold.standins import ports
 
 
 def _leaf_with(clock=None, **profile):
@@ -53,7 +47,7 @@
 
     async def start(**profile):
         leaf = _leaf_with(**profile)
-        address = settings.Address("127.0.0.1", _free_port())
+        address = settings.Address("127.0.0.1", ports.free_port())
         leaf.leaf = index.Leaf("l-1", "z", "h", address)
         server = _leaf_server.LeafServer(leaf)
         await server.start()
--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -6,7 +6,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 
@@ -17,19 +16,14 @@
 from sassafrashold import settings
 from sassafrashold.standins import _proxy
 from sassafrashold.standins import objects_store
+from sassafrashold.standins import ports
 from sassafrashold.standins import records_leaf
 
 HOST = "search.example"
 SHARDS = ("shard-a", "shard-b", "shard-c")
 ZONES = ("z1", "z2")
 _START_TIMEOUT_S = 15.0
-
-
-def free_port() -> int:
-    """Returns a port of the loopback address that was free just now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+_SHOWN_LOG_CHARACTERS = 2000
 
 
 def route(name: str, prefix: str, **fields: object) -> dict[str, object]:
@@ -59,10 +53,10 @@
         zone: str = "z1",
     ) -> None:
         self.name = name
-        self.peers = f"127.0.0.1:{free_port()}"
-        self.metrics_port = free_port()
-        self.url = f"http://127.0.0.1:{free_port()}"
-        self.ready_url = f"http://127.0.0.1:{free_port()}/readiness"
+        self.peers = f"127.0.0.1:{ports.free_port()}"
+        self.metrics_port = ports.free_port()
+        self.url = f"http://127.0.0.1:{ports.free_port()}"
+        self.ready_url = f"http://127.0.0.1:{ports.free_port()}/readiness"
         self._path = folder / f"{name}.conf"
         self._log = folder / f"{name}.log"
         self._path.write_text(
@@ -182,7 +176,7 @@
         try:
             for front in self.fronts:
                 await self.ready(front)
-        except TimeoutError:
+        except (TimeoutError, AssertionError):
             await self.__aexit__()
             raise
         return self
@@ -201,7 +195,7 @@
 
     async def _link(self, name: str, target: str) -> str:
         """Puts a proxy in front of an address; returns the proxy's."""
-        listen = f"127.0.0.1:{free_port()}"
+        listen = f"127.0.0.1:{ports.free_port()}"
         link = _proxy.Link(
             name,
             settings.Address.parse(listen),
@@ -254,9 +248,19 @@
         )
 
     async def ready(self, front: Front, wanted: int = 200) -> None:
-        """Waits until the readiness of a process is as wanted."""
+        """Waits until the readiness of a process is as wanted.
+
+        Raises:
+            AssertionError: The process ended; the message has its last lines.
+            TimeoutError: It runs, and its readiness is not as wanted.
+        """
         async with asyncio.timeout(_START_TIMEOUT_S):
             while True:
+                code = front.process and front.process.poll()
+                assert code is None, (
+                    f"{front.name} ended with {code}:\n"
+                    + front.log()[-_SHOWN_LOG_CHARACTERS:]
+                )
                 try:
                     async with self.session.get(front.ready_url) as answer:
                         if answer.status == wanted:
