Refuse what a cut-off zone can't serve, and send its callers elsewhere

The balancer kept sending callers there, though hosts of other zones could serve them. Change: a host judges other zones by failed connects and probes of leafs. Requests for which too few shards are in reach are refused unsent with 503. A host that reaches no other zone of two or more and had to refuse is not ready until it reaches one again, and its answers end their connections. Ruled out: the same with one other zone, as a cut can't be told there from a loss of that zone.

--- a/src/sassafrashold/calls/__init__.py
+++ b/src/sassafrashold/calls/__init__.py
@@ -12,6 +12,8 @@
 from sassafrashold.calls._messages import Failed
 from sassafrashold.calls._messages import FailureKind
 from sassafrashold.calls._messages import LeafAnswer
+from sassafrashold.calls._reach import CallersElsewhere
+from sassafrashold.calls._reach import ZoneReach
 from sassafrashold.calls._service_call import Send
 from sassafrashold.calls._service_call import ServiceCall
 from sassafrashold.calls._state import CallState
@@ -21,6 +23,7 @@
     "Answered",
     "CallResult",
     "CallState",
+    "CallersElsewhere",
     "ClientRequest",
     "ColdLimiter",
     "Failed",
@@ -33,5 +36,6 @@
     "Send",
     "ServiceCall",
     "ShareOfLimits",
+    "ZoneReach",
     "greatest_records",
 ]
--- a/src/sassafrashold/calls/_gather.py
+++ b/src/sassafrashold/calls/_gather.py
@@ -9,6 +9,9 @@
 from sassafrashold.calls import _service_call
 from sassafrashold.calls import _state
 
+# Shares of shards are compared with this allowance for rounding.
+_ROUNDING = 1e-9
+
 
 @dataclasses.dataclass(frozen=True)
 class GatherTimes:
@@ -43,6 +46,9 @@
     sent: bool
     """Whether any leaf may have worked on the request."""
 
+    out_of_reach: bool = False
+    """Whether it was not tried, as too few shards are in reach."""
+
 
 class GatherPlan:
     """Tracks each shard and takes one part of it; no I/O.
@@ -67,8 +73,10 @@
             gather: Its shards, from one configuration.
             times: When to answer.
         """
+        self._state = state
         self._gather = gather
         self._times = times
+        self._out_of_reach = False
         self._calls = [
             _service_call.ServiceCall(state, route, service, shard)
             for shard, service in enumerate(gather.shards)
@@ -77,7 +85,11 @@
         self._settled = [False] * len(self._calls)
 
     def start(self, now: datetime.timedelta) -> list[_service_call.Send]:
-        """Returns the first calls."""
+        """Returns the first calls; none if too few shards are in reach."""
+        if self._state.reach.silent and not self._enough_in_reach(now):
+            self._out_of_reach = True
+            self._state.callers_elsewhere.note_unserved()
+            return []
         sends = []
         for shard, call in enumerate(self._calls):
             send = call.first(now)
@@ -138,9 +150,11 @@
 
     def outcome(self, now: datetime.timedelta) -> GatherOutcome | None:
         """Returns how the request ends; None while it goes on."""
+        if self._out_of_reach:
+            return self._result(False)
         count = len(self._calls)
         have = len(self._part_by_shard)
-        enough = have > 0 and have >= self._gather.min_coverage * count - 1e-9
+        enough = have > 0 and self._is_enough(have)
         if all(self._settled):
             return self._result(enough)
         if enough and now >= self._times.answer_at:
@@ -151,7 +165,7 @@
             settled and shard not in self._part_by_shard
             for shard, settled in enumerate(self._settled)
         )
-        if count - lost < self._gather.min_coverage * count - 1e-9:
+        if not self._is_enough(count - lost):
             return self._result(False)
         return None
 
@@ -167,6 +181,18 @@
         """Returns the call to a shard."""
         return self._calls[shard]
 
+    def _is_enough(self, shards: int) -> bool:
+        count = len(self._calls)
+        return shards >= self._gather.min_coverage * count - _ROUNDING
+
+    def _enough_in_reach(self, now: datetime.timedelta) -> bool:
+        return self._is_enough(
+            sum(
+                self._state.in_reach(service, now)
+                for service in self._gather.shards
+            )
+        )
+
     def _result(self, enough: bool) -> GatherOutcome:
         missing = tuple(
             call.service
@@ -175,7 +201,9 @@
         )
         sent = any(call.was_sent for call in self._calls)
         if not enough:
-            return GatherOutcome((), b"", len(missing), missing, False, sent)
+            return GatherOutcome(
+                (), b"", len(missing), missing, False, sent, self._out_of_reach
+            )
         parts = [self._part_by_shard[i] for i in sorted(self._part_by_shard)]
         return GatherOutcome(
             tuple(part.signature or "" for part in parts),
--- /dev/null
+++ b/src/sassafrashold/calls/_reach.py
@@ -0,0 +1,136 @@
+"""Which availability zones this host can't reach."""
+
+import datetime
+
+from sassafrashold import directory
+
+# Failed connects to this many leafs of a zone, and none that worked, mean that
+# the zone is out of reach; a single leaf may be gone.
+_LEAFS_UNTIL_SILENT = 3
+# Late answers of this many leafs, and none in between, make a suspect.
+_LATE_UNTIL_SUSPECT = 3
+# Failures count for this long. Probes renew them several times meanwhile.
+_MEMORY = datetime.timedelta(seconds=2)
+
+
+class ZoneReach:
+    """Failed connects by zone since the last one that worked; no I/O.
+
+    One failed connect or some late answers make a zone a suspect. Whoever
+    owns the connections probes other leafs of suspects, so that a few dead
+    leafs are not taken for a zone that is cut off, and a zone that is back is
+    noticed without requests.
+    """
+
+    def __init__(self, own_zone: str) -> None:
+        """Initializes the aggregate; all zones are in reach.
+
+        Args:
+            own_zone: Zone of this host, which is never judged.
+        """
+        self._own_zone = own_zone
+        self._failed_by_zone: dict[
+            str, dict[directory.LeafRef, datetime.timedelta]
+        ] = {}
+        self._late_by_zone: dict[str, set[directory.LeafRef]] = {}
+        self._silent: set[str] = set()
+
+    @property
+    def suspects(self) -> frozenset[str]:
+        """Zones that are to be probed."""
+        late = (
+            zone
+            for zone, refs in self._late_by_zone.items()
+            if len(refs) >= _LATE_UNTIL_SUSPECT
+        )
+        return frozenset((*late, *self._failed_by_zone, *self._silent))
+
+    @property
+    def silent(self) -> frozenset[str]:
+        """Zones out of reach."""
+        return frozenset(self._silent)
+
+    def connected(self, zone: str) -> None:
+        """Notes that a leaf of a zone was reached."""
+        self._failed_by_zone.pop(zone, None)
+        self._late_by_zone.pop(zone, None)
+        self._silent.discard(zone)
+
+    def connect_failed(
+        self, leaf: directory.LeafEntry, now: datetime.timedelta
+    ) -> None:
+        """Notes that no connection to a leaf came about."""
+        if leaf.zone == self._own_zone:
+            return
+        failed = self._failed_by_zone.setdefault(leaf.zone, {})
+        failed[leaf.ref] = now
+        if len(failed) >= _LEAFS_UNTIL_SILENT:
+            self._silent.add(leaf.zone)
+
+    def answer_is_late(self, leaf: directory.LeafEntry) -> None:
+        """Notes that a leaf has not answered in the usual time."""
+        if leaf.zone != self._own_zone:
+            self._late_by_zone.setdefault(leaf.zone, set()).add(leaf.ref)
+
+    def forget_old(self, now: datetime.timedelta) -> None:
+        """Drops failures that say nothing about the present.
+
+        Args:
+            now: Monotonic time.
+        """
+        for zone, failed in list(self._failed_by_zone.items()):
+            kept = {ref: at for ref, at in failed.items() if now - at < _MEMORY}
+            if kept:
+                self._failed_by_zone[zone] = kept
+            else:
+                del self._failed_by_zone[zone]
+
+    def has_failed(self, ref: directory.LeafRef, zone: str) -> bool:
+        """Returns whether a connect to a leaf has failed lately."""
+        return ref in self._failed_by_zone.get(zone, ())
+
+
+class CallersElsewhere:
+    """Whether callers are better served by hosts of other zones; no I/O.
+
+    A host that reaches no other zone and therefore can't serve some routes
+    asks the balancer to send callers elsewhere, until it reaches a zone again.
+    With a single other zone it can't tell whether that zone is still there,
+    so it keeps its callers.
+    """
+
+    _MIN_OTHER_ZONES = 2
+
+    def __init__(self) -> None:
+        self._active = False
+        self._unserved = False
+
+    @property
+    def active(self) -> bool:
+        """Whether callers should go elsewhere now."""
+        return self._active
+
+    def note_unserved(self) -> None:
+        """Notes a request for which too few shards are in reach."""
+        self._unserved = True
+
+    def update(
+        self, other_zones: frozenset[str], silent: frozenset[str]
+    ) -> bool:
+        """Takes what is known about zones.
+
+        Args:
+            other_zones: Zones with leafs, without that of this host.
+            silent: Zones out of reach.
+
+        Returns:
+            Whether `active` has changed.
+        """
+        cut_off = (
+            len(other_zones) >= self._MIN_OTHER_ZONES and other_zones <= silent
+        )
+        if not silent:
+            self._unserved = False
+        before = self._active
+        self._active = cut_off and (self._unserved or before)
+        return self._active != before
--- a/src/sassafrashold/calls/_service_call.py
+++ b/src/sassafrashold/calls/_service_call.py
@@ -138,6 +138,7 @@
         duration = record.ended(send, now, self._latency.slow_from(now), failed)
         self._tell_if_avoided(send, strikes)
         if not failed:
+            self._state.reach.connected(send.leaf.zone)
             self._latency.record(duration, now)
 
     def failed(
@@ -153,7 +154,9 @@
         self.last_failure = failure
         if failure.may_have_run:
             self._may_have_run += 1
-        if failure.kind is not _messages.FailureKind.NOT_SENT:
+        if failure.kind is _messages.FailureKind.NOT_SENT:
+            self._state.reach.connect_failed(send.leaf, now)
+        else:
             self._arrived = True
         if not self._may_send_more():
             return None
@@ -183,6 +186,8 @@
     def note_given_up(self, send: Send, now: datetime.timedelta) -> None:
         """Notes in the leaf's record that a call was cancelled."""
         overdue = now - send.sent_at >= self._latency.overdue_from(now)
+        if overdue:
+            self._state.reach.answer_is_late(send.leaf)
         record = self._state.record(send.leaf.ref)
         strikes = record.strikes
         record.gave_up(send, now, overdue)
--- a/src/sassafrashold/calls/_state.py
+++ b/src/sassafrashold/calls/_state.py
@@ -13,6 +13,7 @@
 from sassafrashold import quantiles
 from sassafrashold import routing
 from sassafrashold.calls import _leaf_record
+from sassafrashold.calls import _reach
 
 _ZERO = datetime.timedelta()
 # Hedges begin here. With the calls that meet a pause (4%) they take half of the
@@ -136,6 +137,8 @@
                 its slow answers and failures in a row.
         """
         self.on_avoided = on_avoided
+        self.reach = _reach.ZoneReach(own_zone)
+        self.callers_elsewhere = _reach.CallersElsewhere()
         self._zone = own_zone
         self._directory = directory
         self._table = table
@@ -196,6 +199,19 @@
             return 1
         return max(1, self._share.of_total(limits.max_connections, leaf_id))
 
+    def in_reach(self, service: str, now: datetime.timedelta) -> bool:
+        """Returns whether a service has a leaf in a zone in reach.
+
+        Args:
+            service: Name of the service.
+            now: Monotonic time.
+        """
+        silent = self.reach.silent
+        return any(
+            entry.zone not in silent
+            for entry in self._directory.usable(service, now)
+        )
+
     def choose(
         self,
         service: str,
--- a/src/sassafrashold/front/_daemon.py
+++ b/src/sassafrashold/front/_daemon.py
@@ -20,6 +20,7 @@
 from sassafrashold.front import _leaf_pool
 from sassafrashold.front import _metrics
 from sassafrashold.front import _peers
+from sassafrashold.front import _reach
 from sassafrashold.front import _registry
 from sassafrashold.front import _request_log
 from sassafrashold.front import _requests
@@ -102,6 +103,7 @@
             self._metrics,
             self._log,
             clock,
+            ends_connections=lambda: self._state.callers_elsewhere.active,
         )
         self._view = _view.View(
             topics, self._table, self._directory, self._state, self._pool, clock
@@ -125,12 +127,24 @@
             self._sourcing.start_alone,
             clock,
         )
+        self._reach = _reach.ReachTask(
+            values.zone,
+            self._state,
+            self._directory,
+            self._pool,
+            random_source,
+            clock,
+        )
         self._stopping = False
 
     @property
     def is_ready(self) -> bool:
         """Whether callers may be sent here."""
-        return not self._stopping and self._view.is_complete
+        return (
+            not self._stopping
+            and self._view.is_complete
+            and not self._state.callers_elsewhere.active
+        )
 
     async def run(self, stopping: asyncio.Event) -> None:
         """Serves until the event is set, then drains.
@@ -147,6 +161,7 @@
             for task in (
                 self._sourcing.run(),
                 self._registry.run(),
+                self._reach.run(),
                 self._keep_house(),
             )
         ]
--- a/src/sassafrashold/front/_leaf_pool.py
+++ b/src/sassafrashold/front/_leaf_pool.py
@@ -111,6 +111,15 @@
         call.connecting.add_done_callback(self._tasks.discard)
         return call
 
+    async def probe(self, leaf: directory.LeafEntry) -> bool:
+        """Returns whether a new connection to a leaf comes about."""
+        try:
+            connection = await self._open(leaf)
+        except (OSError, TimeoutError):
+            return False
+        self._keep(leaf.ref, connection)
+        return True
+
     def forget(self, ref: directory.LeafRef) -> None:
         """Closes the idle connections to an incarnation that ended."""
         for _, connection in self._idle_by_ref.pop(ref, ()):
@@ -165,22 +174,9 @@
         request: calls.ClientRequest,
         deadline: datetime.timedelta,
     ) -> None:
-        loop = asyncio.get_running_loop()
-        sock = sockets.stream_socket()
-        self.opened += 1
         try:
-            async with asyncio.timeout(_CONNECT_TIMEOUT.total_seconds()):
-                await loop.sock_connect(
-                    sock, (leaf.address.ip, leaf.address.port)
-                )
-                _, connection = await loop.create_connection(
-                    lambda: _leaf_connection.LeafConnection(
-                        loop, self._protocol
-                    ),
-                    sock=sock,
-                )
+            connection = await self._open(leaf)
         except (OSError, TimeoutError) as error:
-            sock.close()
             call.connecting = None
             call.finish(
                 calls.Failed(
@@ -190,15 +186,34 @@
                 )
             )
             return
-        except asyncio.CancelledError:
-            sock.close()
-            raise
         call.connecting = None
         if call.is_done:
             self._keep(leaf.ref, connection)
             return
         self._send(call, connection, leaf, request, deadline)
 
+    async def _open(
+        self, leaf: directory.LeafEntry
+    ) -> _leaf_connection.LeafConnection:
+        loop = asyncio.get_running_loop()
+        sock = sockets.stream_socket()
+        self.opened += 1
+        try:
+            async with asyncio.timeout(_CONNECT_TIMEOUT.total_seconds()):
+                await loop.sock_connect(
+                    sock, (leaf.address.ip, leaf.address.port)
+                )
+                _, connection = await loop.create_connection(
+                    lambda: _leaf_connection.LeafConnection(
+                        loop, self._protocol
+                    ),
+                    sock=sock,
+                )
+        except BaseException:
+            sock.close()
+            raise
+        return connection
+
     def _send(
         self,
         call: LeafCall,
--- a/src/sassafrashold/front/_requests.py
+++ b/src/sassafrashold/front/_requests.py
@@ -24,6 +24,9 @@
 _MAX_DEADLINE_MARGIN_SHARE = 0.1
 # A busy leaf has answered a few requests after this time.
 _SOON = datetime.timedelta(milliseconds=100)
+# The balancer takes up to two seconds to send callers to other zones; callers
+# cut this to a third of the time that they have left.
+_UNTIL_REDIRECTED = datetime.timedelta(seconds=1)
 # Time after which a host has usually read its first configuration.
 _UNTIL_CONFIGURED = datetime.timedelta(milliseconds=500)
 
@@ -35,6 +38,7 @@
     NO_ROUTE = "no_route"
     BODY_TOO_LARGE = "body_too_large"
     NO_LEAF = "no_leaf"
+    OUT_OF_REACH = "out_of_reach"
     LEAFS_REJECTED = "leafs_rejected"
     LEAF_FAILED = "leaf_failed"
     TOO_FEW_PARTS = "too_few_parts"
@@ -171,7 +175,9 @@
             )
         exchange.cancel(plan.give_up(now))
         facts["missing"] = list(outcome.missing_services)
-        if not outcome.sent:
+        if outcome.out_of_reach:
+            reply = self._refusal(503, Cause.OUT_OF_REACH, _UNTIL_REDIRECTED)
+        elif not outcome.sent:
             reply = self._refusal(503, Cause.NO_LEAF, _SOON)
         elif now >= end:
             reply = _own_reply(504, Cause.DEADLINE)
--- a/src/sassafrashold/front/_server.py
+++ b/src/sassafrashold/front/_server.py
@@ -1,6 +1,7 @@
 """The HTTP side towards callers."""
 
 import asyncio
+from collections.abc import Callable
 import datetime
 from typing import Any
 
@@ -35,6 +36,7 @@
         metrics: _metrics.FrontMetrics,
         log: _request_log.RequestLog,
         clock: clock_lib.Clock,
+        ends_connections: Callable[[], bool] = lambda: False,
     ) -> None:
         """Initializes the server.
 
@@ -44,7 +46,10 @@
             metrics: Counts them.
             log: Writes a line about those that were not served well.
             clock: The clock.
+            ends_connections: Returns whether answers end their connections,
+                so that callers come back through the balancer.
         """
+        self._ends_connections = ends_connections
         self._requests = requests
         self._protocol = protocol
         self._metrics = metrics
@@ -127,7 +132,7 @@
                 response.headers[name] = value
             else:
                 response.headers.add(name, value)
-        if self._draining:
+        if self._draining or self._ends_connections():
             response.force_close()
         return response
 
