Let callers connect while a process loads, and pace what waited

Cause: loading takes 0.3 s of a start. Once they could connect early, the requests of half a second came at once: parts were rejected, retries had no budget yet, and later requests were late. Requests wait for the first read of the store for a share of their time. Requests that waited longer than their target run two at a time. A shard without room or budget waits for it instead of being left out; open calls to a leaf stay within what it queues.

--- a/src/sassafrashold/calls/__init__.py
+++ b/src/sassafrashold/calls/__init__.py
@@ -16,6 +16,7 @@
 from sassafrashold.calls._reach import ZoneReach
 from sassafrashold.calls._service_call import Send
 from sassafrashold.calls._service_call import ServiceCall
+from sassafrashold.calls._start_queue import StartQueue
 from sassafrashold.calls._state import CallState
 from sassafrashold.calls._state import ShareOfLimits
 
@@ -36,6 +37,7 @@
     "Send",
     "ServiceCall",
     "ShareOfLimits",
+    "StartQueue",
     "ZoneReach",
     "greatest_records",
 ]
--- a/src/sassafrashold/calls/_gather.py
+++ b/src/sassafrashold/calls/_gather.py
@@ -78,7 +78,9 @@
         self._times = times
         self._out_of_reach = False
         self._calls = [
-            _service_call.ServiceCall(state, route, service, shard)
+            _service_call.ServiceCall(
+                state, route, service, shard, waits_for_budget=True
+            )
             for shard, service in enumerate(gather.shards)
         ]
         self._part_by_shard: dict[int, _messages.LeafAnswer] = {}
@@ -93,10 +95,10 @@
         sends = []
         for shard, call in enumerate(self._calls):
             send = call.first(now)
-            if send is None:
-                self._settled[shard] = True
-            else:
+            if send is not None:
                 sends.append(send)
+            elif not call.is_waiting:
+                self._settled[shard] = True
         return sends
 
     def next_time(self, now: datetime.timedelta) -> datetime.timedelta:
@@ -105,20 +107,22 @@
         if now < self._times.answer_at:
             due = self._times.answer_at
         for shard, call in enumerate(self._calls):
-            hedge_at = call.next_time()
-            if not self._settled[shard] and hedge_at is not None:
-                due = min(due, hedge_at)
+            call_due = call.next_time()
+            if not self._settled[shard] and call_due is not None:
+                due = min(due, call_due)
         return due
 
     def tick(self, now: datetime.timedelta) -> list[_service_call.Send]:
-        """Returns the hedges that are due."""
+        """Returns the hedges that are due, and calls that had to wait."""
         sends = []
         for shard, call in enumerate(self._calls):
             if self._settled[shard]:
                 continue
-            send = call.hedge(now)
+            send = call.tick(now)
             if send is not None:
                 sends.append(send)
+            elif not call.is_open and not call.is_waiting:
+                self._settled[shard] = True
         return sends
 
     def ended(
@@ -144,7 +148,7 @@
                 retry = call.failed(send, failure, now)
                 if retry is not None:
                     return [retry]
-                if not call.is_open:
+                if not call.is_open and not call.is_waiting:
                     self._settled[send.shard] = True
                 return []
 
--- a/src/sassafrashold/calls/_service_call.py
+++ b/src/sassafrashold/calls/_service_call.py
@@ -8,7 +8,8 @@
 from sassafrashold.calls import _messages
 from sassafrashold.calls import _state
 
-# A hedge that found no budget or no healthy leaf is tried again after this.
+# A call that found no room, no budget or no healthy leaf is tried again after
+# this.
 _RECHECK = datetime.timedelta(milliseconds=10)
 # A leaf in trouble gets a hedge only when the first call is this late.
 _ANY_LEAF_DELAYS = 2
@@ -47,6 +48,7 @@
         route: routing.Route,
         service: str,
         shard: int = 0,
+        waits_for_budget: bool = False,
     ) -> None:
         """Initializes the call; nothing is sent yet.
 
@@ -55,11 +57,15 @@
             route: Route of the request.
             service: Service to call.
             shard: Index that the sends carry.
+            waits_for_budget: Whether a retry that is not paid for waits until
+                it is. A request that did not run is better refused: its
+                caller's next attempt needs no budget.
         """
         self.service = service
         self._state = state
         self._route = route
         self._shard = shard
+        self._waits_for_budget = waits_for_budget
         self._latency = state.latency(route)
         self._tried: set[directory_lib.LeafRef] = set()
         self._open: dict[Send, None] = {}
@@ -68,6 +74,8 @@
         self._answered = False
         self._sends = 0
         self._hedge_at: datetime.timedelta | None = None
+        # Set while a leaf is wanted that can't be had yet.
+        self._recheck_at: datetime.timedelta | None = None
         self.last_failure: _messages.Failed | None = None
 
     @property
@@ -75,6 +83,11 @@
         """Whether a call is on its way."""
         return bool(self._open)
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether a call is to be sent as soon as a leaf can take it."""
+        return self._recheck_at is not None
+
     @property
     def may_have_run(self) -> bool:
         """Whether a leaf may have worked on the request, or still does."""
@@ -86,17 +99,26 @@
         return self._sends > 0
 
     def first(self, now: datetime.timedelta) -> Send | None:
-        """Returns the first call; None if no leaf can take it."""
+        """Returns the first call; None if no leaf can take it now."""
         self._state.budget(self.service).earn(1)
-        leaf = self._state.choose(self.service, self._route, (), now)
-        return None if leaf is None else self._send(leaf, now, extra=False)
+        return self._send_or_wait(now)
 
     def next_time(self) -> datetime.timedelta | None:
-        """Returns when `hedge` is to be asked; None if never."""
+        """Returns when `tick` is to be called; None if never."""
+        if self._recheck_at is not None:
+            return self._recheck_at
         return self._hedge_at if self._open else None
 
-    def hedge(self, now: datetime.timedelta) -> Send | None:
-        """Returns a second call if one is due, possible and paid for."""
+    def tick(self, now: datetime.timedelta) -> Send | None:
+        """Returns a call that has waited for a leaf, or a hedge that is due."""
+        if self._recheck_at is None:
+            return self._hedge(now)
+        if now < self._recheck_at:
+            return None
+        self._recheck_at = None
+        return self._send_or_wait(now)
+
+    def _hedge(self, now: datetime.timedelta) -> Send | None:
         if self._hedge_at is None or now < self._hedge_at or not self._open:
             return None
         if not self._may_send_more():
@@ -123,6 +145,7 @@
         """Notes that a call was answered; no other is sent from now on."""
         self._open.pop(send, None)
         self._answered = True
+        self._recheck_at = None
         self._may_have_run += 1
         self.note_end(send, now, failed=False)
 
@@ -147,7 +170,7 @@
         """Notes the failure of a call.
 
         Returns:
-            A retry; None if there is none now.
+            A retry; None if there is none now, see `is_waiting`.
         """
         self._open.pop(send, None)
         self.note_end(send, now, failed=True)
@@ -158,16 +181,7 @@
             self._state.reach.connect_failed(send.leaf, now)
         else:
             self._arrived = True
-        if not self._may_send_more():
-            return None
-        leaf = self._state.choose(self.service, self._route, self._tried, now)
-        if leaf is None:
-            return None
-        if self._arrived or self._open:
-            if not self._state.budget(self.service).try_spend():
-                return None
-            return self._send(leaf, now, extra=True)
-        return self._send(leaf, now, extra=False)
+        return self._send_or_wait(now)
 
     def give_up(self, now: datetime.timedelta) -> tuple[Send, ...]:
         """Ends the call without a result.
@@ -181,6 +195,7 @@
         if abandoned:
             self._may_have_run += len(abandoned)
         self._open.clear()
+        self._recheck_at = None
         return abandoned
 
     def note_given_up(self, send: Send, now: datetime.timedelta) -> None:
@@ -205,6 +220,25 @@
         if strikes > strikes_before and self._state.on_avoided is not None:
             self._state.on_avoided(send.leaf.ref, strikes)
 
+    def _send_or_wait(self, now: datetime.timedelta) -> Send | None:
+        """Returns a call, or waits if a leaf may take one later."""
+        if not self._may_send_more():
+            return None
+        leaf = self._state.choose(self.service, self._route, self._tried, now)
+        extra = self._arrived or bool(self._open)
+        if leaf is not None and (
+            not extra or self._state.budget(self.service).try_spend()
+        ):
+            return self._send(leaf, now, extra)
+        if self._open:
+            # The hedge of the open call asks again.
+            return None
+        if leaf is not None and not self._waits_for_budget:
+            return None
+        if self._state.may_get_room(self.service, self._tried, now):
+            self._recheck_at = now + _RECHECK
+        return None
+
     def _may_send_more(self) -> bool:
         if self._answered or self._sends >= _MAX_SENDS:
             return False
--- a/src/sassafrashold/calls/_state.py
+++ b/src/sassafrashold/calls/_state.py
@@ -16,6 +16,10 @@
 from sassafrashold.calls import _reach
 
 _ZERO = datetime.timedelta()
+# Open calls of all hosts together at one leaf, for each of its slots: a leaf
+# queues a few requests and rejects more. Each host may fill the slots alone,
+# as others may not reach the leaf.
+_OPEN_CALLS_A_SLOT = 4
 # Hedges begin here. With the calls that meet a pause (4%) they take half of the
 # budget for extra calls, which leaves the other half to slow and lost leafs.
 _HEDGE_PERCENTILE = 95
@@ -234,7 +238,7 @@
             only_healthy: Whether a leaf in trouble is no choice.
 
         Returns:
-            The leaf; None if there is none that can take a call.
+            The leaf; None if there is none that can take a call now.
         """
         overdue = self.latency(route).overdue_from(now)
         best: directory_lib.LeafEntry | None = None
@@ -259,6 +263,33 @@
                 best, best_rank = entry, rank
         return best
 
+    def may_get_room(
+        self,
+        service: str,
+        tried: Collection[directory_lib.LeafRef],
+        now: datetime.timedelta,
+    ) -> bool:
+        """Returns whether a leaf may take a call later that can't now.
+
+        Args:
+            service: Service to call.
+            tried: Leafs that are no choice.
+            now: Monotonic time.
+        """
+        return any(
+            entry.ref not in tried
+            for entry in self._directory.usable(service, now)
+        )
+
+    def _open_limit(self, entry: directory_lib.LeafEntry) -> int:
+        leaf_id = entry.ref.leaf_id
+        of_slots = self._share.of_total(
+            entry.slots * _OPEN_CALLS_A_SLOT, leaf_id
+        )
+        return min(
+            max(entry.slots, of_slots), self.connections(entry.service, leaf_id)
+        )
+
     def _has_room(
         self,
         entry: directory_lib.LeafEntry,
@@ -266,7 +297,7 @@
         now: datetime.timedelta,
     ) -> bool:
         ref = entry.ref
-        if record.open_calls >= self.connections(entry.service, ref.leaf_id):
+        if record.open_calls >= self._open_limit(entry):
             return False
         if not self._directory.is_cold(ref.leaf_id, now):
             return True
--- a/src/sassafrashold/calls/tests/test_one_request_at_one_service.py
+++ b/src/sassafrashold/calls/tests/test_one_request_at_one_service.py
@@ -21,12 +21,12 @@
     world.learn(20)
     call = world.call()
     first = must(call.first(0 * MS))
-    assert call.hedge(10 * MS) is None
-    hedge = must(call.hedge(must(call.next_time())))
+    assert call.tick(10 * MS) is None
+    hedge = must(call.tick(must(call.next_time())))
     assert hedge.leaf.ref != first.leaf.ref
     assert hedge.extra
     # Two leafs are the most that this route allows.
-    assert call.hedge(500 * MS) is None
+    assert call.tick(500 * MS) is None
 
 
 def test_no_hedge_without_budget():
@@ -34,7 +34,7 @@
     call = world.call()
     call.first(0 * MS)
     for step in range(50):
-        assert call.hedge(step * 10 * MS) is None
+        assert call.tick(step * 10 * MS) is None
 
 
 @pytest.mark.parametrize(
@@ -81,7 +81,7 @@
     call = world.call()
     call.first(0 * MS)
     assert call.next_time() is None
-    assert call.hedge(900 * MS) is None
+    assert call.tick(900 * MS) is None
 
 
 def test_a_retry_after_a_failed_connect_needs_no_budget():
--- a/src/sassafrashold/front/_daemon.py
+++ b/src/sassafrashold/front/_daemon.py
@@ -15,6 +15,7 @@
 from sassafrashold import directory as directory_lib
 from sassafrashold import relay
 from sassafrashold import routing
+from sassafrashold import sockets
 from sassafrashold import telemetry
 from sassafrashold.front import _interfaces
 from sassafrashold.front import _leaf_pool
@@ -51,6 +52,7 @@
     def __init__(
         self,
         values: _settings.FrontSettings,
+        listeners: sockets.Listeners,
         protocol: _interfaces.Protocol,
         topics: _view.Topics,
         registry: _interfaces.HostRegistry,
@@ -61,6 +63,7 @@
 
         Args:
             values: Settings.
+            listeners: Open sockets for callers and for readiness.
             protocol: How callers and leafs spell messages.
             topics: What is followed in the store.
             registry: The hosts of the system.
@@ -68,6 +71,7 @@
             random_source: Ties and splits.
         """
         self._values = values
+        self._listeners = listeners
         self._clock = clock
         self._directory = directory_lib.LeafDirectory(
             directory_lib.ReleaseTimes(
@@ -95,10 +99,17 @@
         self._pool = _leaf_pool.LeafPool(protocol, clock)
         self._metrics = _metrics.FrontMetrics()
         self._log = _request_log.RequestLog(clock)
+        self._complete = asyncio.Event()
+        self._requests = _requests.RequestServer(
+            self._table,
+            self._state,
+            self._pool,
+            protocol,
+            clock,
+            self._complete,
+        )
         self._server = _server.CallerServer(
-            _requests.RequestServer(
-                self._table, self._state, self._pool, protocol, clock
-            ),
+            self._requests,
             protocol,
             self._metrics,
             self._log,
@@ -118,7 +129,7 @@
         self._peer_server = _peers.PeerServer(
             self._view, lambda: self._sourcing.reads_store
         )
-        self._view.on_change = self._peer_server.note_change
+        self._view.on_change = self._note_change
         self._registry = _registry.RegistryTask(
             registry,
             relay.Peer(values.host, values.zone, values.peers),
@@ -152,7 +163,9 @@
         Args:
             stopping: Set on SIGTERM.
         """
-        await self._server.start(self._values.clients)
+        now = self._clock.monotonic()
+        self._requests.start_queue.started(now, now - self._listeners.opened)
+        await self._server.start(self._listeners.clients)
         runners = [await self._serve_readiness(), await self._serve_peers()]
         if self._values.metrics is not None:
             runners.append(await self._serve_metrics())
@@ -206,6 +219,11 @@
             "drained", extra={"open_requests": self._server.open_requests}
         )
 
+    def _note_change(self) -> None:
+        if self._view.is_complete:
+            self._complete.set()
+        self._peer_server.note_change()
+
     async def _sleep_until(self, time: datetime.timedelta) -> None:
         delay = time - self._clock.monotonic()
         await asyncio.sleep(max(delay.total_seconds(), 0))
@@ -259,9 +277,11 @@
                 return web.Response(status=404)
             return web.Response(status=200 if self.is_ready else 503)
 
-        return await _listen(
-            handle, self._values.readiness.ip, self._values.readiness.port
-        )
+        runner = await _runner(handle)
+        await web.SockSite(
+            runner, self._listeners.readiness, backlog=_BACKLOG
+        ).start()
+        return runner
 
     async def _serve_metrics(self) -> web.ServerRunner:
         async def handle(_request: web.BaseRequest) -> web.Response:
@@ -289,8 +309,13 @@
             self._metrics.gauge(name, float(value or 0))
 
 
-async def _listen(handler: Any, ip: str, port: int) -> web.ServerRunner:
+async def _runner(handler: Any) -> web.ServerRunner:
     runner = web.ServerRunner(web.Server(handler, access_log=None))
     await runner.setup()
+    return runner
+
+
+async def _listen(handler: Any, ip: str, port: int) -> web.ServerRunner:
+    runner = await _runner(handler)
     await web.TCPSite(runner, ip, port, backlog=_BACKLOG).start()
     return runner
--- a/src/sassafrashold/front/_requests.py
+++ b/src/sassafrashold/front/_requests.py
@@ -1,5 +1,7 @@
 """Serves one request of a caller."""
 
+import asyncio
+from collections.abc import Coroutine
 from collections.abc import Mapping
 import dataclasses
 import datetime
@@ -27,6 +29,13 @@
 # The balancer takes up to two seconds to send callers to other zones; callers
 # cut this to a third of the time that they have left.
 _UNTIL_REDIRECTED = datetime.timedelta(seconds=1)
+# The store is usually read within 50 ms of a start. Requests that come before
+# wait for that, up to a share of the time that their callers have left.
+_START_WAIT = datetime.timedelta(milliseconds=600)
+_MAX_WAIT_SHARE = 0.2
+# A request that no leaf had room for in this share of its time is refused, so
+# that its caller can try another host.
+_MAX_UNSENT_SHARE = 0.25
 # Time after which a host has usually read its first configuration.
 _UNTIL_CONFIGURED = datetime.timedelta(milliseconds=500)
 
@@ -78,6 +87,7 @@
         pool: _leaf_pool.LeafPool,
         protocol: _interfaces.Protocol,
         clock: clock_lib.Clock,
+        complete: asyncio.Event,
     ) -> None:
         """Initializes the server.
 
@@ -87,7 +97,11 @@
             pool: Connections to leafs.
             protocol: How answers are spelled.
             clock: The clock.
+            complete: Set once configuration and leafs are known.
         """
+        self.start_queue = calls.StartQueue()
+        self._complete = complete
+        self._wait_until = clock.monotonic() + _START_WAIT
         self._table = table
         self._state = state
         self._pool = pool
@@ -96,7 +110,9 @@
 
     async def serve(self, request: calls.ClientRequest) -> Reply:
         """Serves a request; cancelled when the caller leaves."""
-        now = self._clock.monotonic()
+        arrived = self._clock.monotonic()
+        if not self._complete.is_set():
+            await self._wait_complete(request)
         configuration = self._table.current
         if configuration is None:
             return self._refusal(503, Cause.NOT_CONFIGURED, _UNTIL_CONFIGURED)
@@ -105,13 +121,17 @@
         route = self._table.match(request.host, request.path)
         if route is None:
             return _own_reply(404, Cause.NO_ROUTE)
-        end, deadline = _times(request, route, now)
+        end, deadline = _times(request, route, arrived)
         services = self._table.services(route)
         match route.target:
             case routing.Gather() as gather:
-                reply = await self._gather(
-                    request, route, gather, now, end, deadline
+                serving = self._gather(
+                    request, route, gather, arrived, end, deadline
                 )
+                if self.start_queue.is_late(arrived, route.target_latency):
+                    reply = await self._serve_behind(serving, end)
+                else:
+                    reply = await serving
             case routing.SingleService() | routing.SplitTraffic():
                 reply = await self._call_one(
                     request, route, services[0], end, deadline
@@ -119,13 +139,49 @@
         facts = {
             "route": route.name,
             "configuration": configuration.version,
-            "time_left_ms": clock_lib.to_ms(deadline - now),
+            "time_left_ms": clock_lib.to_ms(deadline - arrived),
             "target_ms": clock_lib.to_ms(route.target_latency),
             "services": services[:1] if len(services) == 1 else len(services),
             **reply.facts,
         }
         return dataclasses.replace(reply, facts=facts)
 
+    async def _wait_complete(self, request: calls.ClientRequest) -> None:
+        """Waits until the store was read, for a bounded time after a start."""
+        left = self._wait_until - self._clock.monotonic()
+        if request.time_left is not None:
+            left = min(left, request.time_left * _MAX_WAIT_SHARE)
+        if left <= _ZERO:
+            return
+        try:
+            async with asyncio.timeout(left.total_seconds()):
+                await self._complete.wait()
+        except TimeoutError:
+            # Refused below, with a time to come back.
+            return
+
+    async def _serve_behind(
+        self, serving: Coroutine[Any, Any, Reply], end: datetime.timedelta
+    ) -> Reply:
+        """Serves a request behind those that can still be in time."""
+        place = asyncio.Event()
+        left = max(end - self._clock.monotonic(), _ZERO)
+        self.start_queue.enter(place.set)
+        try:
+            async with asyncio.timeout(left.total_seconds()):
+                await place.wait()
+        except BaseException as error:
+            serving.close()
+            if not self.start_queue.withdraw(place.set):
+                self.start_queue.leave()
+            if isinstance(error, TimeoutError):
+                return self._refusal(503, Cause.NO_LEAF, _SOON)
+            raise
+        try:
+            return await serving
+        finally:
+            self.start_queue.leave()
+
     async def _gather(
         self,
         request: calls.ClientRequest,
@@ -145,7 +201,7 @@
             self._pool, self._clock, request, deadline, runs_once=False
         )
         try:
-            exchange.dispatch(plan.start(arrived))
+            exchange.dispatch(plan.start(self._clock.monotonic()))
             while True:
                 now = self._clock.monotonic()
                 outcome = plan.outcome(now)
@@ -202,13 +258,17 @@
             runs_once=not route.idempotent,
         )
         now = self._clock.monotonic()
+        unsent_end = now + (end - now) * _MAX_UNSENT_SHARE
         first = call.first(now)
-        if first is None:
-            return self._refusal(503, Cause.NO_LEAF, _SOON)
         try:
-            exchange.dispatch((first,))
-            while call.is_open:
+            if first is not None:
+                exchange.dispatch((first,))
+            while call.is_open or call.is_waiting:
                 now = self._clock.monotonic()
+                if not call.was_sent and now >= unsent_end:
+                    break
+                if not call.is_open and now >= end:
+                    break
                 if now >= end:
                     facts = {"trail": exchange.trail()}
                     exchange.cancel(call.give_up(now))
@@ -233,9 +293,9 @@
                             retry = call.failed(send, failure, now)
                             if retry is not None:
                                 exchange.dispatch((retry,))
-                hedge = call.hedge(self._clock.monotonic())
-                if hedge is not None:
-                    exchange.dispatch((hedge,))
+                due = call.tick(self._clock.monotonic())
+                if due is not None:
+                    exchange.dispatch((due,))
         except BaseException:
             exchange.cancel(call.give_up(self._clock.monotonic()))
             raise
@@ -245,6 +305,8 @@
 
     def _failure(self, call: calls.ServiceCall) -> Reply:
         failure = call.last_failure
+        if not call.was_sent:
+            return self._refusal(503, Cause.NO_LEAF, _SOON)
         if not call.may_have_run:
             return self._refusal(503, Cause.LEAFS_REJECTED, _SOON)
         if (
--- a/src/sassafrashold/front/_server.py
+++ b/src/sassafrashold/front/_server.py
@@ -3,13 +3,13 @@
 import asyncio
 from collections.abc import Callable
 import datetime
+import socket
 from typing import Any
 
 from aiohttp import web
 
 from sassafrashold import calls
 from sassafrashold import clock as clock_lib
-from sassafrashold import settings
 from sassafrashold.front import _interfaces
 from sassafrashold.front import _metrics
 from sassafrashold.front import _request_log
@@ -57,12 +57,16 @@
         self._clock = clock
         self._server: web.Server | None = None
         self._runner: web.ServerRunner | None = None
-        self._sites: list[web.TCPSite] = []
+        self._sites: list[web.SockSite] = []
         self._draining = False
         self.open_requests = 0
 
-    async def start(self, address: settings.Address) -> None:
-        """Begins to listen."""
+    async def start(self, listener: socket.socket) -> None:
+        """Begins to accept callers.
+
+        Args:
+            listener: A listening socket; closed with `stop_accepting`.
+        """
         self._server = web.Server(
             self._handle,
             request_factory=_make_request,
@@ -76,9 +80,7 @@
         )
         self._runner = web.ServerRunner(self._server)
         await self._runner.setup()
-        site = web.TCPSite(
-            self._runner, address.ip, address.port, backlog=_BACKLOG
-        )
+        site = web.SockSite(self._runner, listener, backlog=_BACKLOG)
         await site.start()
         self._sites.append(site)
 
--- a/src/sassafrashold/front/_settings.py
+++ b/src/sassafrashold/front/_settings.py
@@ -16,12 +16,6 @@
     zone: str
     """Its availability zone."""
 
-    clients: settings.Address
-    """Where callers connect."""
-
-    readiness: settings.Address
-    """Where the balancer asks whether callers may be sent here."""
-
     readiness_path: str
     """Path of that question."""
 
--- a/src/sassafrashold/platform/main.py
+++ b/src/sassafrashold/platform/main.py
@@ -1,144 +1,58 @@
-"""The binary `sassafras-front`: the daemon on the users' platform."""
+"""The binary `sassafras-front`: the daemon on the users' platform.
+
+Callers connect as soon as the sockets are open, and wait in their queue while
+the rest of the program is loaded, which takes most of a start. So this module
+imports little, and the rest only after the sockets are open.
+"""
 
-import asyncio
 import gc
-import logging
+import importlib
 import os
 import pathlib
-import random
-import signal
 import sys
 
-import click
-
 from sassafrashold import clock as clock_lib
 from sassafrashold import errors
-from sassafrashold import front
-from sassafrashold import settings
-from sassafrashold import telemetry
+from sassafrashold import sockets
 from sassafrashold.platform import boot
-from sassafrashold.platform import store_client
-from sassafrashold.platform import topics
-from sassafrashold.platform import wire
 
-_LOGGER = logging.getLogger(__name__)
-_EXIT_BAD_SETTINGS = 2
+EXIT_BAD_SETTINGS = 2
 # The port that deploy/system.toml names.
-_METRICS_PORT = 9464
+METRICS_PORT = 9464
+LOG_LEVEL = "INFO"
 
 
-def front_settings(
-    values: boot.HostSettings, metrics_port: int
-) -> front.FrontSettings:
-    """Returns the daemon's settings on this host.
+def start(path: pathlib.Path, metrics_port: int, log_level: str) -> None:
+    """Opens the sockets, loads the rest of the program and runs it.
 
     Args:
-        values: What the platform says.
+        path: Settings file.
         metrics_port: Where metrics are read; 0 for nowhere.
+        log_level: Lowest level that is logged.
     """
-    metrics = settings.Address(values.ip, metrics_port)
-    return front.FrontSettings(
-        host=values.host,
-        zone=values.zone,
-        clients=values.clients,
-        readiness=values.readiness,
-        readiness_path=wire.READINESS_PATH,
-        peers=values.peers,
-        seeds=values.seeds,
-        bootstrap=values.bootstrap,
-        metrics=metrics if metrics_port else None,
-        leaf_drain=values.bounds.drain,
-        grace=values.bounds.grace,
-        extra_calls_ratio=values.bounds.extra_calls_ratio,
-        extra_calls_burst=values.bounds.extra_calls_burst,
-        cold_burst_factor=values.bounds.cold_burst_factor,
-        cold_slack=values.bounds.cold_slack,
-    )
-
-
-async def _run(
-    values: boot.HostSettings, path: pathlib.Path, metrics_port: int
-) -> None:
-    stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, _check_again, path, values)
-    clock = clock_lib.SystemClock()
-    client = store_client.StoreClient(values.store)
-    daemon = front.Daemon(
-        front_settings(values, metrics_port),
-        wire,
-        front.Topics(
-            topics.ConfigurationTopic(client),
-            topics.LeafTopic(client),
-            topics.ZonesOutTopic(client),
-        ),
-        topics.HostRegistry(client),
-        clock,
-        random.Random(),
-    )
-    gc.collect()
-    gc.freeze()
-    _LOGGER.info("started", extra={"zone": values.zone})
-    await daemon.run(stopping)
-    await client.close()
-    _LOGGER.info("stopped", extra={"store_calls": client.calls})
-
-
-def _check_again(path: pathlib.Path, running: boot.HostSettings) -> None:
-    """Reads the settings after SIGHUP; what differs holds after a restart."""
-    try:
-        values = boot.load(path)
-    except errors.SettingsError as error:
-        _LOGGER.error("settings not taken", extra={"cause": error.message})
-        return
-    _LOGGER.info("settings read", extra={"changed": values != running})
-
-
-@click.command(name="sassafras-front")
-@click.option(
-    "--settings",
-    "path",
-    type=click.Path(path_type=pathlib.Path),
-    help=f"Settings file; {boot.PATH_VARIABLE} names it by default.",
-)
-@click.option("--check", is_flag=True, help="Check the settings and exit.")
-@click.option(
-    "--metrics-port",
-    type=click.IntRange(0, 65535),
-    default=_METRICS_PORT,
-    show_default=True,
-    help="Port of the host's address where metrics are read; 0 for nowhere.",
-)
-@click.option(
-    "--log-level",
-    type=click.Choice(["DEBUG", "INFO", "WARNING", "ERROR"]),
-    default="INFO",
-    show_default=True,
-    help="Lowest level that is logged.",
-)
-def main(
-    path: pathlib.Path | None, check: bool, metrics_port: int, log_level: str
-) -> None:
-    """Serves callers and calls leafs on the users' platform."""
-    if path is None:
-        path = boot.path_from(os.environ)
     try:
         values = boot.load(path)
     except errors.SettingsError as error:
-        click.echo(str(error), err=True)
-        sys.exit(_EXIT_BAD_SETTINGS)
-    if check:
-        click.echo(f"{path}: valid")
-        return
-    telemetry.configure_logging(
-        "front",
-        values.host,
-        log_level,
-        telemetry.NonBlockingHandler(sys.stdout),
+        sys.stderr.write(f"{error}\n")
+        sys.exit(EXIT_BAD_SETTINGS)
+    listeners = sockets.Listeners(
+        clients=sockets.listening_socket(values.clients),
+        readiness=sockets.listening_socket(values.readiness),
+        opened=clock_lib.SystemClock().monotonic(),
     )
-    asyncio.run(_run(values, path, metrics_port))
+    process = importlib.import_module("sassafrashold.platform.process")
+    process.run(values, path, listeners, metrics_port, log_level)
+
+
+def main() -> None:
+    """Runs the daemon; reads the command line if there are options."""
+    # Loading makes many objects that stay; collections in between would take
+    # a fifth of the time of a start.
+    gc.disable()
+    if len(sys.argv) > 1:
+        importlib.import_module("sassafrashold.platform.command").command()
+    else:
+        start(boot.path_from(os.environ), METRICS_PORT, LOG_LEVEL)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/src/sassafrashold/platform/process.py
@@ -0,0 +1,118 @@
+"""Assembles the daemon on the users' platform and runs it."""
+
+import asyncio
+import gc
+import logging
+import pathlib
+import random
+import signal
+import sys
+
+from sassafrashold import clock as clock_lib
+from sassafrashold import errors
+from sassafrashold import front
+from sassafrashold import settings
+from sassafrashold import sockets
+from sassafrashold import telemetry
+from sassafrashold.platform import boot
+from sassafrashold.platform import store_client
+from sassafrashold.platform import topics
+from sassafrashold.platform import wire
+
+_LOGGER = logging.getLogger(__name__)
+
+
+def front_settings(
+    values: boot.HostSettings, metrics_port: int
+) -> front.FrontSettings:
+    """Returns the daemon's settings on this host.
+
+    Args:
+        values: What the platform says.
+        metrics_port: Where metrics are read; 0 for nowhere.
+    """
+    metrics = settings.Address(values.ip, metrics_port)
+    return front.FrontSettings(
+        host=values.host,
+        zone=values.zone,
+        readiness_path=wire.READINESS_PATH,
+        peers=values.peers,
+        seeds=values.seeds,
+        bootstrap=values.bootstrap,
+        metrics=metrics if metrics_port else None,
+        leaf_drain=values.bounds.drain,
+        grace=values.bounds.grace,
+        extra_calls_ratio=values.bounds.extra_calls_ratio,
+        extra_calls_burst=values.bounds.extra_calls_burst,
+        cold_burst_factor=values.bounds.cold_burst_factor,
+        cold_slack=values.bounds.cold_slack,
+    )
+
+
+def run(
+    values: boot.HostSettings,
+    path: pathlib.Path,
+    listeners: sockets.Listeners,
+    metrics_port: int,
+    log_level: str,
+) -> None:
+    """Runs the daemon until SIGTERM.
+
+    Args:
+        values: Settings.
+        path: Where they were read.
+        listeners: Open sockets for callers and for readiness.
+        metrics_port: Where metrics are read; 0 for nowhere.
+        log_level: Lowest level that is logged.
+    """
+    telemetry.configure_logging(
+        "front",
+        values.host,
+        log_level,
+        telemetry.NonBlockingHandler(sys.stdout),
+    )
+    asyncio.run(_run(values, path, listeners, metrics_port))
+
+
+async def _run(
+    values: boot.HostSettings,
+    path: pathlib.Path,
+    listeners: sockets.Listeners,
+    metrics_port: int,
+) -> None:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, _check_again, path, values)
+    client = store_client.StoreClient(values.store)
+    daemon = front.Daemon(
+        front_settings(values, metrics_port),
+        listeners,
+        wire,
+        front.Topics(
+            topics.ConfigurationTopic(client),
+            topics.LeafTopic(client),
+            topics.ZonesOutTopic(client),
+        ),
+        topics.HostRegistry(client),
+        clock_lib.SystemClock(),
+        random.Random(),
+    )
+    # What was loaded lives as long as the process.
+    gc.freeze()
+    gc.enable()
+    _LOGGER.info("started", extra={"zone": values.zone})
+    await daemon.run(stopping)
+    await client.close()
+    _LOGGER.info("stopped", extra={"store_calls": client.calls})
+
+
+def _check_again(path: pathlib.Path, running: boot.HostSettings) -> None:
+    """Reads the settings after SIGHUP; what differs holds after a restart."""
+    try:
+        values = boot.load(path)
+    except errors.SettingsError as error:
+        _LOGGER.error("settings not taken", extra={"cause": error.message})
+        return
+    _LOGGER.info("settings read", extra={"changed": values != running})
--- a/src/sassafrashold/sockets.py
+++ b/src/sassafrashold/sockets.py
@@ -1,13 +1,51 @@
-"""Options of TCP sockets that notice a peer which is gone."""
+"""TCP sockets: listeners, and streams that notice a peer which is gone."""
 
+import dataclasses
+import datetime
 import socket
 
+from sassafrashold import settings
+
 # A connection that went silent is found within idle + interval * probes.
 _KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 2
 # Unacknowledged data ends a connection after this time.
 _USER_TIMEOUT_MS = 2000
+# Callers that connect while the program is loaded wait in this queue.
+_BACKLOG = 1024
+
+
+@dataclasses.dataclass(frozen=True)
+class Listeners:
+    """Listening sockets that are open before the daemon is loaded."""
+
+    clients: socket.socket
+    """Where callers connect."""
+
+    readiness: socket.socket
+    """Where the balancer asks whether callers may be sent here."""
+
+    opened: datetime.timedelta
+    """Monotonic time since when callers can connect."""
+
+
+def listening_socket(address: settings.Address) -> socket.socket:
+    """Returns a socket that takes connections from now on.
+
+    Raises:
+        OSError: The address is in use or not of this host.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((address.ip, address.port))
+        sock.listen(_BACKLOG)
+        sock.setblocking(False)
+    except OSError:
+        sock.close()
+        raise
+    return sock
 
 
 def prepare(sock: socket.socket) -> socket.socket:
