Follow another host while the store turns only this one away

Change: such a host asks the other live hosts in turn and follows one that reads the store, until the store answers it again. Result: the new test fails without the change (no change in 3 s) and passes with it.

--- a/src/sassafrashold/front/_daemon.py
+++ b/src/sassafrashold/front/_daemon.py
@@ -260,6 +260,12 @@
                 [peer for peer in peers if peer.zone == self._values.zone],
             )
         )
+        self._sourcing.set_others(
+            [peer for peer in peers if peer.host != self._values.host]
+        )
+        self._sourcing.set_others(
+            [peer for peer in peers if peer.host != self._values.host]
+        )
         share = self._state.share
         hosts = tuple(sorted(peer.host for peer in peers))
         if hosts == share.hosts:
--- a/src/sassafrashold/front/_follower.py
+++ b/src/sassafrashold/front/_follower.py
@@ -45,6 +45,7 @@
         self._on_change = on_change
         self._back = asyncio.Event()
         self._back.set()
+        self._away = asyncio.Event()
 
     @property
     def is_away(self) -> bool:
@@ -67,21 +68,28 @@
         """Waits until the store answers."""
         await self._back.wait()
 
+    async def wait_away(self) -> None:
+        """Waits until the store is lost."""
+        await self._away.wait()
+
     def note_lost(self, error: errors.StoreError) -> None:
         """Notes a failed call."""
         if self.is_away:
             return
         self._back.clear()
+        self._away.set()
         _LOGGER.warning("store lost", extra={"cause": error.message})
         self._on_change(True)
 
     def reset(self) -> None:
         """Forgets what was seen, as the store is no longer called."""
+        self._away.clear()
         self._back.set()
 
     def _note_back(self) -> None:
         if not self.is_away:
             return
+        self._away.clear()
         self._back.set()
         _LOGGER.info("store is back")
         self._on_change(False)
--- a/src/sassafrashold/front/_sourcing.py
+++ b/src/sassafrashold/front/_sourcing.py
@@ -15,6 +15,9 @@
 _LOGGER = logging.getLogger(__name__)
 # After all hosts to follow have failed, the store is read for this long.
 _DIRECT_TIME = datetime.timedelta(seconds=6)
+# A host that the store turns away asks another one this often until it finds
+# one that the store serves.
+_DETOUR_INTERVAL = datetime.timedelta(milliseconds=400)
 # Changes of leafs come in bursts; a leaf that drains may be called for longer.
 _LEAF_PAUSE = datetime.timedelta(milliseconds=400)
 # The store answers a host that starts in a fraction of this.
@@ -45,6 +48,7 @@
         self._view = view
         self._client = client
         self._sources: tuple[relay.Peer, ...] = ()
+        self._others: tuple[relay.Peer, ...] = ()
         self._sources_changed = asyncio.Event()
         self._configuration = topics.configuration
         self._reading = False
@@ -79,6 +83,14 @@
             self._sources = tuple(sources)
             self._sources_changed.set()
 
+    def set_others(self, others: Sequence[relay.Peer]) -> None:
+        """Changes whom this host may ask while the store turns it away.
+
+        Args:
+            others: All other live hosts.
+        """
+        self._others = tuple(others)
+
     def start_alone(self) -> None:
         """Reads the store, as other hosts are not known."""
         self._decided.set()
@@ -126,6 +138,7 @@
                 *(follower.run() for follower in self._followers),
                 self.health.run(),
                 self._copy_from_seeds(),
+                self._follow_while_away(),
             )
         ]
         waiter = asyncio.create_task(self._sources_changed.wait())
@@ -145,6 +158,45 @@
             await asyncio.gather(*tasks, return_exceptions=True)
             self.health.reset()
 
+    async def _follow_while_away(self) -> None:
+        """Follows other hosts while the store turns only this one away."""
+        position = 0
+        while True:
+            await self.health.wait_away()
+            await asyncio.sleep(_DETOUR_INTERVAL.total_seconds())
+            if not self._others or not self.health.is_away:
+                continue
+            source = self._others[position % len(self._others)]
+            if not await self._follow_until_lost(source):
+                position += 1
+
+    async def _follow_until_lost(self, source: relay.Peer) -> bool:
+        """Follows a host until it fails or the store is back.
+
+        Returns:
+            Whether the host was followed at all.
+        """
+        followed = False
+        while self.health.is_away:
+            try:
+                await self._client.follow_once(source.address)
+            except errors.StoreError as error:
+                if followed:
+                    _LOGGER.info(
+                        "host no longer followed",
+                        extra={"peer": source.host, "cause": error.message},
+                    )
+                    self._view.set_store_away(self.health.is_away)
+                return followed
+            if not followed:
+                followed = True
+                _LOGGER.info(
+                    "following host while the store turns this one away",
+                    extra={"peer": source.host},
+                )
+                self._view.set_store_away(False)
+        return followed
+
     async def _copy_from_seeds(self) -> None:
         """Takes what another host knows if the store does not answer."""
         while True:
--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -1,6 +1,7 @@
 """The users' platform in small: store, leafs and real front processes."""
 
 import asyncio
+from collections.abc import Callable
 import datetime
 import hashlib
 import os
@@ -311,6 +312,16 @@
                 await asyncio.sleep(0.05)
                 answer = await self.ask(path, "until", front=front)
 
+    async def until_logged(
+        self, front: Front, found: Callable[[str], bool], timeout_s: float
+    ) -> None:
+        """Waits until the log of a process is as wanted."""
+        async with asyncio.timeout(timeout_s):
+            while True:
+                if found(front.log()):
+                    return
+                await asyncio.sleep(0.1)
+
     def runs(self, request_id: str) -> list[records_leaf.Run]:
         """Returns what leafs ran of a request."""
         return [
--- a/tests/platform/test_front_processes.py
+++ b/tests/platform/test_front_processes.py
@@ -260,3 +260,30 @@
     assert 'sassafras_requests_total{cause="",status="200"} 1.0' in text
     assert 'sassafras_requests_total{cause="no_route",status="404"}' in text
     assert "sassafras_ready 1.0" in text
+
+
+async def test_a_host_that_the_store_turns_away_follows_another(tmp_path):
+    """Such a host kept its old knowledge for 13 s (incident inc-bfa9)."""
+    async with platform_world.World(tmp_path, fronts=2, proxied=True) as world:
+        await asyncio.sleep(6)
+        link = next(link for link in world.links if link.name == "store-1")
+        await link.close()
+        world.links.remove(link)
+        await world.until_logged(
+            world.fronts[1], lambda log: "following host while" in log, 5
+        )
+        world.routes.append(
+            platform_world.route("new", "/new/", service="single")
+        )
+        await world.configure()
+        await world.until_served("/new/x", timeout_s=3, front=1)
+        leaf = world.leaf("single", "z1")
+        await world.list_leaf(leaf, "draining")
+        await world.until_logged(
+            world.fronts[1], lambda log: leaf.leaf_id in _drained(log), 3
+        )
+
+
+def _drained(log: str) -> set[str]:
+    lines = [json.loads(line) for line in log.splitlines()]
+    return {line["leaf"] for line in lines if line.get("draining")}
