Hold a new index until its leafs are known; refuse lost shards unsent

A zone that was cut off with dead leafs still tried them, since only silent zones counted as out of reach. Change: a configuration whose shards have no leaf yet waits for them, 0.5 s at most, while the old shards have leafs. Leafs whose connects fail three times in a row count as out of reach for a second.

--- a/src/sassafrashold/calls/_gather.py
+++ b/src/sassafrashold/calls/_gather.py
@@ -88,7 +88,7 @@
 
     def start(self, now: datetime.timedelta) -> list[_service_call.Send]:
         """Returns the first calls; none if too few shards are in reach."""
-        if self._state.reach.silent and not self._enough_in_reach(now):
+        if self._state.reach.has_losses and not self._enough_in_reach(now):
             self._out_of_reach = True
             self._state.callers_elsewhere.note_unserved()
             return []
--- a/src/sassafrashold/calls/_reach.py
+++ b/src/sassafrashold/calls/_reach.py
@@ -9,6 +9,10 @@
 _LEAFS_UNTIL_SILENT = 3
 # Late answers of this many leafs, and none in between, make a suspect.
 _LATE_UNTIL_SUSPECT = 3
+# After this many failed connects in a row a leaf is lost, until it was not
+# tried for a while.
+_FAILURES_UNTIL_LOST = 3
+_LOST_FOR = datetime.timedelta(seconds=1)
 # Failures count for this long. Probes renew them several times meanwhile.
 _MEMORY = datetime.timedelta(seconds=2)
 
@@ -34,6 +38,10 @@
         ] = {}
         self._late_by_zone: dict[str, set[directory.LeafRef]] = {}
         self._silent: set[str] = set()
+        # Failed connects in a row and the time of the last one.
+        self._lost_by_ref: dict[
+            directory.LeafRef, tuple[int, datetime.timedelta]
+        ] = {}
 
     @property
     def suspects(self) -> frozenset[str]:
@@ -50,8 +58,23 @@
         """Zones out of reach."""
         return frozenset(self._silent)
 
-    def connected(self, zone: str) -> None:
+    @property
+    def has_losses(self) -> bool:
+        """Whether zones or leafs may be out of reach."""
+        return bool(self._silent or self._lost_by_ref)
+
+    def is_lost(self, ref: directory.LeafRef, now: datetime.timedelta) -> bool:
+        """Returns whether connects to a leaf keep failing."""
+        failures, last = self._lost_by_ref.get(ref, (0, now))
+        return failures >= _FAILURES_UNTIL_LOST and now - last < _LOST_FOR
+
+    def connected(self, ref: directory.LeafRef, zone: str) -> None:
         """Notes that a leaf of a zone was reached."""
+        self._lost_by_ref.pop(ref, None)
+        self.zone_reached(zone)
+
+    def zone_reached(self, zone: str) -> None:
+        """Notes that a zone is in reach, or that there is nothing to reach."""
         self._failed_by_zone.pop(zone, None)
         self._late_by_zone.pop(zone, None)
         self._silent.discard(zone)
@@ -60,6 +83,8 @@
         self, leaf: directory.LeafEntry, now: datetime.timedelta
     ) -> None:
         """Notes that no connection to a leaf came about."""
+        failures, _ = self._lost_by_ref.get(leaf.ref, (0, now))
+        self._lost_by_ref[leaf.ref] = (failures + 1, now)
         if leaf.zone == self._own_zone:
             return
         failed = self._failed_by_zone.setdefault(leaf.zone, {})
@@ -78,6 +103,9 @@
         Args:
             now: Monotonic time.
         """
+        for ref, (_, last) in list(self._lost_by_ref.items()):
+            if now - last >= _MEMORY:
+                del self._lost_by_ref[ref]
         for zone, failed in list(self._failed_by_zone.items()):
             kept = {ref: at for ref, at in failed.items() if now - at < _MEMORY}
             if kept:
--- a/src/sassafrashold/calls/_service_call.py
+++ b/src/sassafrashold/calls/_service_call.py
@@ -161,7 +161,7 @@
         duration = record.ended(send, now, self._latency.slow_from(now), failed)
         self._tell_if_avoided(send, strikes)
         if not failed:
-            self._state.reach.connected(send.leaf.zone)
+            self._state.reach.connected(send.leaf.ref, send.leaf.zone)
             self._latency.record(duration, now)
 
     def failed(
--- a/src/sassafrashold/calls/_state.py
+++ b/src/sassafrashold/calls/_state.py
@@ -204,7 +204,7 @@
         return max(1, self._share.of_total(limits.max_connections, leaf_id))
 
     def in_reach(self, service: str, now: datetime.timedelta) -> bool:
-        """Returns whether a service has a leaf in a zone in reach.
+        """Returns whether a service has a leaf that can be reached.
 
         Args:
             service: Name of the service.
@@ -212,7 +212,7 @@
         """
         silent = self.reach.silent
         return any(
-            entry.zone not in silent
+            entry.zone not in silent and not self.reach.is_lost(entry.ref, now)
             for entry in self._directory.usable(service, now)
         )
 
--- a/src/sassafrashold/calls/tests/test_zones_out_of_reach.py
+++ b/src/sassafrashold/calls/tests/test_zones_out_of_reach.py
@@ -54,7 +54,7 @@
     for shard in range(2):
         reach.connect_failed(call_world.entry(f"s{shard}", "z2"), 0 * MS)
     assert reach.suspects == {"z2"}
-    reach.connected("z2")
+    reach.zone_reached("z2")
     reach.connect_failed(call_world.entry("s2", "z2"), 1 * MS)
     assert not reach.silent
 
@@ -83,7 +83,7 @@
         reach.answer_is_late(call_world.entry(f"s{shard}", "z2"))
     assert reach.suspects == {"z2"}
     assert not reach.silent
-    reach.connected("z2")
+    reach.zone_reached("z2")
     assert not reach.suspects
 
 
@@ -91,7 +91,7 @@
     world = call_world.World(shards=10)
     _lose_at_home(world, 2)
     _cut_off(world, 0 * MS)
-    world.state.reach.connected("z2")
+    world.state.reach.zone_reached("z2")
     assert world.state.reach.silent == {"z3"}
     assert len(world.plan().start(1 * MS)) == 10
 
@@ -111,3 +111,49 @@
     elsewhere.note_unserved()
     elsewhere.update(frozenset({"z2"}), frozenset({"z2"}))
     assert not elsewhere.active
+
+
+def _fail_connects(world, shards, times, now):
+    """Lets connects to all leafs of some shards fail."""
+    for _ in range(times):
+        for shard in range(shards):
+            for zone in call_world.ZONES:
+                world.state.reach.connect_failed(
+                    call_world.entry(f"s{shard}", zone), now
+                )
+                world.state.reach.zone_reached(zone)
+
+
+def test_a_request_whose_shards_have_lost_all_leafs_is_refused_unsent():
+    """The leafs of all other shards worked on it in vain."""
+    world = call_world.World(shards=10)
+    _fail_connects(world, 2, 3, 0 * MS)
+    plan = world.plan()
+    assert plan.start(1 * MS) == []
+    assert plan.outcome(1 * MS).out_of_reach
+
+
+def test_a_shard_less_than_is_needed_does_not_refuse():
+    world = call_world.World(shards=10)
+    _fail_connects(world, 1, 3, 0 * MS)
+    assert len(world.plan().start(1 * MS)) == 10
+
+
+def test_leafs_that_failed_once_are_still_tried():
+    world = call_world.World(shards=10)
+    _fail_connects(world, 2, 2, 0 * MS)
+    assert len(world.plan().start(1 * MS)) == 10
+
+
+def test_lost_leafs_are_tried_again_after_a_second():
+    world = call_world.World(shards=10)
+    _fail_connects(world, 2, 3, 0 * MS)
+    assert len(world.plan().start(1000 * MS)) == 10
+
+
+def test_an_answer_brings_a_lost_leaf_back():
+    world = call_world.World(shards=10)
+    _fail_connects(world, 2, 3, 0 * MS)
+    leaf = call_world.entry("s0", "z2")
+    world.state.reach.connected(leaf.ref, leaf.zone)
+    assert len(world.plan().start(1 * MS)) == 10
--- a/src/sassafrashold/front/_reach.py
+++ b/src/sassafrashold/front/_reach.py
@@ -84,13 +84,13 @@
             if entry.zone == zone and not entry.draining
         ]
         if not leafs:
-            reach.connected(zone)
+            reach.zone_reached(zone)
             return
         untried = [
             leaf for leaf in leafs if not reach.has_failed(leaf.ref, zone)
         ]
         leaf = self._random.choice(untried or leafs)
         if await self._pool.probe(leaf):
-            reach.connected(zone)
+            reach.connected(leaf.ref, zone)
         else:
             reach.connect_failed(leaf, self._clock.monotonic())
--- a/src/sassafrashold/front/_view.py
+++ b/src/sassafrashold/front/_view.py
@@ -1,6 +1,7 @@
 """What this host knows of the store, and what follows from it."""
 
 from collections.abc import Callable
+import datetime
 import logging
 
 from sassafrashold import calls
@@ -12,6 +13,9 @@
 from sassafrashold.front import _leaf_pool
 
 _LOGGER = logging.getLogger(__name__)
+# A configuration that names services without leafs waits for their entries,
+# which are read at the same time. Operators expect it in force within 3 s.
+_MAX_HOLD = datetime.timedelta(milliseconds=500)
 
 
 class Topics:
@@ -68,6 +72,8 @@
             for topic in (topics.configuration, topics.leafs, topics.zones_out)
         }
         self.on_change: Callable[[], None] | None = None
+        self._held: routing.Configuration | None = None
+        self._hold_until = datetime.timedelta()
 
     @property
     def is_complete(self) -> bool:
@@ -92,6 +98,7 @@
             self._take_leafs(
                 self._topics.leafs.decode(batch.documents), batch.whole
             )
+            self._release_held()
         elif topic == self._topics.zones_out.name:
             self._take_zones_out(
                 self._topics.zones_out.decode(batch.documents), batch.whole
@@ -106,18 +113,61 @@
     def forget_expired(self) -> None:
         """Drops leafs that can no longer be used."""
         self._forget(self._directory.forget_expired(self._clock.monotonic()))
+        self._release_held()
 
     def _adopt(self, versions: tuple[routing.Configuration, ...]) -> None:
         for configuration in versions:
-            before = self._table.current
-            if self._table.adopt(configuration):
+            current = self._table.current
+            if current is not None and self._lacks_leafs(
+                configuration, current
+            ):
+                if self._held is None:
+                    self._hold_until = self._clock.monotonic() + _MAX_HOLD
+                self._held = configuration
                 _LOGGER.info(
-                    "configuration in force",
-                    extra={
-                        "configuration": configuration.version,
-                        "before": before.version if before else None,
-                    },
+                    "configuration waits for leafs",
+                    extra={"configuration": configuration.version},
                 )
+            else:
+                self._held = None
+                self._put_in_force(configuration)
+
+    def _release_held(self) -> None:
+        """Puts a configuration in force whose leafs are known, or late."""
+        held = self._held
+        current = self._table.current
+        if held is None or current is None:
+            return
+        if self._clock.monotonic() < self._hold_until and self._lacks_leafs(
+            held, current
+        ):
+            return
+        self._held = None
+        self._put_in_force(held)
+
+    def _lacks_leafs(
+        self,
+        configuration: routing.Configuration,
+        current: routing.Configuration,
+    ) -> bool:
+        """Returns whether a new shard has no leaf, while all old ones have."""
+        now = self._clock.monotonic()
+        old = current.shards()
+        return any(
+            not self._directory.usable(shard, now)
+            for shard in configuration.shards() - old
+        ) and all(self._directory.usable(shard, now) for shard in old)
+
+    def _put_in_force(self, configuration: routing.Configuration) -> None:
+        before = self._table.current
+        if self._table.adopt(configuration):
+            _LOGGER.info(
+                "configuration in force",
+                extra={
+                    "configuration": configuration.version,
+                    "before": before.version if before else None,
+                },
+            )
 
     def _take_leafs(
         self, changes: tuple[directory_lib.LeafChange, ...], whole: bool
--- /dev/null
+++ b/src/sassafrashold/front/tests/test_a_new_index_waits_for_its_leafs.py
@@ -0,0 +1,144 @@
+"""Guards against a configuration that is in force before its leafs are known.
+
+Seen in incident inc-bfa9: after an outage of the store the configuration with
+a new set of shards was read 160 ms before the entries of their leafs, and 54
+requests failed for want of shards.
+"""
+
+import datetime
+import random
+from typing import Any
+
+import pytest
+
+from sassafrashold import clock as clock_lib
+from sassafrashold import directory
+from sassafrashold import relay
+from sassafrashold import routing
+from sassafrashold.calls.tests import call_world
+from sassafrashold.front import _view
+
+MS = call_world.MS
+
+
+class _Topic:
+    """Documents that hold decoded values."""
+
+    def __init__(self, name):
+        self.name = name
+
+    def decode(self, documents):
+        return tuple(document.content for document in documents)
+
+
+class _Pool:
+    def forget(self, ref):
+        pass
+
+
+class _World:
+    def __init__(self):
+        self.calls = call_world.World(shards=2)
+        self.clock = clock_lib.ManualClock()
+        self.table = routing.RouteTable(random.Random(1))
+        topics: Any = [
+            _Topic(name) for name in ("configuration", "leafs", "zones_out")
+        ]
+        pool: Any = _Pool()
+        self.view = _view.View(
+            _view.Topics(*topics),
+            self.table,
+            self.calls.directory,
+            self.calls.state,
+            pool,
+            self.clock,
+        )
+        self.revision = 0
+        self.configure(1, ("s0", "s1"))
+
+    def _take(self, topic, content):
+        self.revision += 1
+        self.view.take(
+            topic,
+            relay.Batch((relay.Document("x", content),), self.revision),
+        )
+
+    def configure(self, version, shards):
+        route = self.calls.route
+        self._take(
+            "configuration",
+            routing.Configuration(
+                version=version,
+                routes_by_host={
+                    "h": (
+                        routing.Route(
+                            **{
+                                **vars(route),
+                                "target": routing.Gather(shards, 5, 0.8),
+                            }
+                        ),
+                    )
+                },
+                limits_by_service={},
+                client_limits=routing.ClientLimits(
+                    max_header_bytes=1,
+                    max_body_bytes=1,
+                    header_timeout=MS,
+                    idle_timeout=MS,
+                ),
+            ),
+        )
+
+    def list_leaf(self, service):
+        self._take("leafs", directory.LeafSeen(call_world.entry(service, "z1")))
+
+    @property
+    def version(self):
+        return call_world.must(self.table.current).version
+
+
+@pytest.fixture
+def world():
+    return _World()
+
+
+def test_the_old_index_serves_until_the_new_leafs_are_known(world):
+    world.configure(2, ("n0", "n1"))
+    assert world.version == 1
+    world.list_leaf("n0")
+    assert world.version == 1
+    world.list_leaf("n1")
+    assert world.version == 2
+
+
+def test_the_wait_is_bounded(world):
+    world.configure(2, ("n0", "n1"))
+    world.clock.advance(499 * MS)
+    world.view.forget_expired()
+    assert world.version == 1
+    world.clock.advance(1 * MS)
+    world.view.forget_expired()
+    assert world.version == 2
+
+
+def test_versions_in_series_do_not_prolong_the_wait(world):
+    world.configure(2, ("n0", "n1"))
+    world.clock.advance(300 * MS)
+    world.configure(3, ("n0", "n1"))
+    world.clock.advance(datetime.timedelta(milliseconds=200))
+    world.view.forget_expired()
+    assert world.version == 3
+
+
+def test_a_version_with_known_shards_is_in_force_at_once(world):
+    world.configure(2, ("s1", "s0"))
+    assert world.version == 2
+
+
+def test_a_version_that_goes_back_to_known_shards_ends_the_wait(world):
+    world.configure(2, ("n0", "n1"))
+    world.configure(3, ("s0", "s1"))
+    assert world.version == 3
+    world.list_leaf("n0")
+    world.list_leaf("n1")
+    assert world.version == 3
--- a/src/sassafrashold/routing/_configuration.py
+++ b/src/sassafrashold/routing/_configuration.py
@@ -127,3 +127,13 @@
 
     client_limits: ClientLimits
     """Limits of callers."""
+
+    def shards(self) -> frozenset[str]:
+        """Returns the services that routes gather from."""
+        return frozenset(
+            shard
+            for routes in self.routes_by_host.values()
+            for route in routes
+            if isinstance(route.target, Gather)
+            for shard in route.target.shards
+        )
