--- a/src/sassafrashold/calls/_gather.py
+++ b/src/sassafrashold/calls/_gather.py
@@ -76,7 +76,8 @@
         self._state = state
         self._gather = gather
         self._times = times
-        self._out_of_reach = False
+        # Set if the request is not tried.
+        self._out_of_reach: tuple[str, ...] = ()
         self._calls = [
             _service_call.ServiceCall(
                 state, route, service, shard, waits_for_budget=True
@@ -88,8 +89,8 @@
 
     def start(self, now: datetime.timedelta) -> list[_service_call.Send]:
         """Returns the first calls; none if too few shards are in reach."""
-        if self._state.reach.has_losses and not self._enough_in_reach(now):
-            self._out_of_reach = True
+        self._out_of_reach = self._too_many_lost(now)
+        if self._out_of_reach:
             self._state.callers_elsewhere.note_unserved()
             return []
         sends = []
@@ -189,13 +190,17 @@
         count = len(self._calls)
         return shards >= self._gather.min_coverage * count - _ROUNDING
 
-    def _enough_in_reach(self, now: datetime.timedelta) -> bool:
-        return self._is_enough(
-            sum(
-                self._state.in_reach(service, now)
-                for service in self._gather.shards
-            )
+    def _too_many_lost(self, now: datetime.timedelta) -> tuple[str, ...]:
+        """Returns the shards out of reach if too few are left without them."""
+        if not self._state.reach.has_losses:
+            return ()
+        lost = tuple(
+            service
+            for service in self._gather.shards
+            if not self._state.in_reach(service, now)
         )
+        left = len(self._calls) - len(lost)
+        return () if self._is_enough(left) else lost
 
     def _result(self, enough: bool) -> GatherOutcome:
         missing = tuple(
@@ -206,7 +211,13 @@
         sent = any(call.was_sent for call in self._calls)
         if not enough:
             return GatherOutcome(
-                (), b"", len(missing), missing, False, sent, self._out_of_reach
+                (),
+                b"",
+                len(missing),
+                self._out_of_reach or missing,
+                False,
+                sent,
+                bool(self._out_of_reach),
             )
         parts = [self._part_by_shard[i] for i in sorted(self._part_by_shard)]
         return GatherOutcome(
--- a/src/sassafrashold/front/_daemon.py
+++ b/src/sassafrashold/front/_daemon.py
@@ -309,6 +309,14 @@
             ("sassafras_hosts", len(self._state.share.hosts)),
             ("sassafras_ready", self.is_ready),
             ("sassafras_store_away", self._sourcing.health.is_away),
+            (
+                "sassafras_zones_out_of_reach",
+                len(self._state.reach.silent),
+            ),
+            (
+                "sassafras_callers_elsewhere",
+                self._state.callers_elsewhere.active,
+            ),
             ("sassafras_leaf_connections", self._pool.opened),
             ("sassafras_log_lines_left_out", self._log.left_out),
         ):
--- a/src/sassafrashold/front/_metrics.py
+++ b/src/sassafrashold/front/_metrics.py
@@ -53,6 +53,11 @@
                 ("sassafras_hosts", "Live hosts of the system."),
                 ("sassafras_ready", "1 if callers may be sent here."),
                 ("sassafras_store_away", "1 if the store does not answer."),
+                ("sassafras_zones_out_of_reach", "Zones out of reach."),
+                (
+                    "sassafras_callers_elsewhere",
+                    "1 if callers should go to other zones.",
+                ),
                 ("sassafras_leaf_connections", "Connections opened so far."),
                 ("sassafras_log_lines_left_out", "Log lines left out."),
             )
--- a/src/sassafrashold/front/_requests.py
+++ b/src/sassafrashold/front/_requests.py
@@ -232,6 +232,7 @@
         exchange.cancel(plan.give_up(now))
         facts["missing"] = list(outcome.missing_services)
         if outcome.out_of_reach:
+            facts["zones_out_of_reach"] = sorted(self._state.reach.silent)
             reply = self._refusal(503, Cause.OUT_OF_REACH, _UNTIL_REDIRECTED)
         elif not outcome.sent:
             reply = self._refusal(503, Cause.NO_LEAF, _SOON)
