Bound calls over new connections to a leaf until one is answered

Cause: a leaf that restarts while its connections are idle was noticed by its first answer; by then the owner had sent as many calls as a warm leaf bears (KNOWN-RED, up to 2 calls above the cold-start bound). Change: at most the cold-start bound of calls run over connections that have not carried an answer yet, since a restart closes all connections.

--- a/src/sassafrashold/leafs/client.py
+++ b/src/sassafrashold/leafs/client.py
@@ -6,6 +6,7 @@
 import dataclasses
 import datetime
 import json
+import types
 from typing import Any
 
 import aiohttp
@@ -84,6 +85,7 @@
         address: settings.Address,
         connections: int,
         clock: clock_lib.Clock,
+        unproven_calls: int,
     ) -> None:
         """Initializes the client; it connects with the first call.
 
@@ -91,7 +93,15 @@
             address: Where the leaf listens.
             connections: Connections at once, kept open between calls.
             clock: The clock.
+            unproven_calls: Calls at once on connections that have not carried
+                an answer yet. A restarted leaf closes all connections, so this
+                bounds what it gets before it has said that it is cold.
         """
+        self._unproven = asyncio.Semaphore(unproven_calls)
+        tracing = aiohttp.TraceConfig()
+        tracing.on_connection_create_start.append(self._before_connect)
+        tracing.on_request_end.append(self._after_request)
+        tracing.on_request_exception.append(self._after_request)
         self._base = f"http://{address}/v1/"
         self._address = address
         self._clock = clock
@@ -100,6 +110,7 @@
                 limit=connections, keepalive_timeout=_KEEP_OPEN_S
             ),
             cookie_jar=aiohttp.DummyCookieJar(),
+            trace_configs=[tracing],
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
             auto_decompress=False,
         )
@@ -202,6 +213,19 @@
         """Closes all connections; calls under way fail."""
         await self._session.close()
 
+    async def _before_connect(
+        self, _session: Any, context: types.SimpleNamespace, _event: Any
+    ) -> None:
+        await self._unproven.acquire()
+        context.unproven = True
+
+    async def _after_request(
+        self, _session: Any, context: types.SimpleNamespace, _event: Any
+    ) -> None:
+        if getattr(context, "unproven", False):
+            context.unproven = False
+            self._unproven.release()
+
     async def _side_call(self, method: str, path: str) -> dict[str, Any] | None:
         """Makes a call whose failure does not matter."""
         timeout = aiohttp.ClientTimeout(total=_SIDE_CALL_TIMEOUT_S)
--- a/src/sassafrashold/owner/_leaf_task.py
+++ b/src/sassafrashold/owner/_leaf_task.py
@@ -255,6 +255,7 @@
             self.leaf.address,
             self.aggregate.state.connection_limit(),
             self._context.clock,
+            self.aggregate.state.limits.cold_start_slots,
         )
 
     def _start(self, batch: leafs.Batch) -> None:
