--- a/src/sassafrashold/platform/main.py
+++ b/src/sassafrashold/platform/main.py
@@ -9,6 +9,7 @@
 import importlib
 import os
 import pathlib
+import signal
 import sys
 
 from sassafrashold import clock as clock_lib
@@ -46,6 +47,8 @@
 
 def main() -> None:
     """Runs the daemon; reads the command line if there are options."""
+    # By default it ends the process; the daemon handles it once it is loaded.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # Loading makes many objects that stay; collections in between would take
     # a fifth of the time of a start.
     gc.disable()
--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -270,6 +270,21 @@
                     pass
                 await asyncio.sleep(0.05)
 
+    async def until_listening(self, front: Front) -> None:
+        """Waits until callers can connect to a process; nobody may accept."""
+        address = settings.Address.parse(front.url.removeprefix("http://"))
+        async with asyncio.timeout(_START_TIMEOUT_S):
+            while True:
+                try:
+                    _, writer = await asyncio.open_connection(
+                        address.ip, address.port
+                    )
+                except ConnectionRefusedError:
+                    await asyncio.sleep(0.002)
+                    continue
+                writer.close()
+                return
+
     async def ask(
         self,
         path: str,
--- a/tests/platform/test_front_processes.py
+++ b/tests/platform/test_front_processes.py
@@ -192,6 +192,17 @@
     assert await front.exited(6) == 0
 
 
+async def test_a_hang_up_while_the_program_loads_does_not_end_it(world):
+    """The process ended without a line in the log (soak, seed 1008)."""
+    front = world.fronts[0]
+    front.signal(signal.SIGKILL)
+    await front.exited(5)
+    front.start()
+    await world.until_listening(front)
+    front.signal(signal.SIGHUP)
+    await world.ready(front)
+
+
 async def test_a_killed_host_is_ready_again_and_the_other_serves(world):
     front = world.fronts[0]
     front.signal(signal.SIGKILL)
