Say of a call without a place at a leaf that it was not sent

A call that waits for a place on an unproven connection until its time is over ended like one whose answer is late, though nothing was sent; a request that aiohttp sends again could also take a second place. Change: the wait ends after the connect timeout as an unreachable leaf, which is not run; a request keeps one place. Result: the new test fails without the change and passes with it.

--- a/src/sassafrashold/leafs/client.py
+++ b/src/sassafrashold/leafs/client.py
@@ -216,7 +216,17 @@
     async def _before_connect(
         self, _session: Any, context: types.SimpleNamespace, _event: Any
     ) -> None:
-        await self._unproven.acquire()
+        # A request that is sent again on another connection keeps its place.
+        if getattr(context, "unproven", False):
+            return
+        try:
+            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+                await self._unproven.acquire()
+        except TimeoutError as error:
+            # Nothing was sent, so this must not look like a late answer.
+            raise aiohttp.ConnectionTimeoutError(
+                f"{self._address} answers no call on a new connection"
+            ) from error
         context.unproven = True
 
     async def _after_request(
--- a/src/sassafrashold/leafs/tests/test_a_restarted_leaf_gets_few_calls.py
+++ b/src/sassafrashold/leafs/tests/test_a_restarted_leaf_gets_few_calls.py
@@ -25,11 +25,12 @@
         self.running = 0
         self.most = 0
         self.fails = False
+        self.work_s = 0.02
 
     async def handle(self, _request):
         self.running += 1
         self.most = max(self.most, self.running)
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(self.work_s)
         self.running -= 1
         if self.fails:
             return web.Response(status=500)
@@ -111,3 +112,13 @@
     await asyncio.gather(*calls, return_exceptions=True)
     async with asyncio.timeout(2):
         await _burst(client)
+
+
+async def test_a_call_that_found_no_place_says_that_it_was_not_sent(world):
+    """Its caller was told that the outcome is unknown."""
+    leaf, _, client = world
+    leaf.work_s = 1.0
+    results = await _burst(client, _BOUND + 1)
+    refused = [r for r in results if isinstance(r, errors.LeafError)]
+    assert [r.code for r in refused] == [errors.ErrorCode.LEAF_UNREACHABLE]
+    assert refused[0].ran is errors.Ran.NOT_RUN
