Name the leaf's generation in each call of the lease path

Cause: the owner learns that a leaf has turned cold from an answer. Calls that it sends before that answer arrives were admitted for the warm leaf and ran above what a cold one bears (KNOWN-RED: silent cold start, restart). No order of work inside the owner can prevent that; a bound on connections does not apply, as a silent cold start keeps them.

Change: query and dispatch carry the last known generation. A leaf of another generation refuses them with 409 GENERATION_CHANGED, not run. The owner then forgets the generation, starts cold and queues the queries again.

--- a/src/sassafrashold/entry/_responses.py
+++ b/src/sassafrashold/entry/_responses.py
@@ -39,6 +39,7 @@
     errors.ErrorCode.STORE_AMBIGUOUS: 503,
     errors.ErrorCode.LEAF_SHED: 503,
     errors.ErrorCode.LEAF_BUSY: 503,
+    errors.ErrorCode.LEAF_RESTARTED: 503,
     errors.ErrorCode.LEAF_UNREACHABLE: 503,
     errors.ErrorCode.NOT_OWNER: 503,
     errors.ErrorCode.NO_ENTITLEMENT: 503,
--- a/src/sassafrashold/leafs/_leaf.py
+++ b/src/sassafrashold/leafs/_leaf.py
@@ -1,5 +1,6 @@
 """Queue and slots of one leaf, combined."""
 
+from collections.abc import Collection
 from collections.abc import Mapping
 import dataclasses
 import datetime
@@ -143,6 +144,25 @@
         self.state.abandon(batch.call)
         return _answer_all(batch, error)
 
+    def requeue(
+        self,
+        batch: Batch,
+        error: errors.SassafrasError,
+        waiters: Collection[_work.Waiter],
+    ) -> None:
+        """Ends a call that the leaf did not run and queues its work again.
+
+        Args:
+            batch: The call.
+            error: The refusal of the leaf.
+            waiters: Waiters of the batch that have not been cancelled.
+        """
+        self.state.fail(batch.call, error)
+        for entry in batch.entries:
+            for waiter in entry.waiters:
+                if waiter in waiters:
+                    self.queue.add(waiter)
+
     def record_failure(
         self, batch: Batch, error: errors.SassafrasError
     ) -> Answers:
--- a/src/sassafrashold/leafs/_state.py
+++ b/src/sassafrashold/leafs/_state.py
@@ -263,6 +263,8 @@
                 self._record_shed(error)
             case errors.ErrorCode.LEAF_FAILED:
                 self._check_overloads()
+            case errors.ErrorCode.LEAF_RESTARTED:
+                self._forget_generation(call)
             case errors.ErrorCode.DRAINING:
                 self._back_off(Phase.DRAINING)
             case errors.ErrorCode.LEAF_UNREACHABLE:
@@ -314,10 +316,19 @@
         self._window = min(self._window, limits.slots)
         self._window = max(self._window, limits.cold_start_slots)
 
+    def _forget_generation(self, call: Call) -> None:
+        """Begins a cold start after a call for an ended generation.
+
+        Calls that were sent before the change are refused later than it, and
+        say nothing new.
+        """
+        if call.started < self._generation_changed_at:
+            return
+        self._generation = None
+        self._generation_changed_at = self._clock.monotonic()
+        self.become_cold()
+
     def _is_new_generation(self, call: Call, generation: str) -> bool:
-        if self._generation is None:
-            self._generation = generation
-            return False
         # An answer to a call that started before the last change may still
         # carry the previous generation.
         if (
@@ -325,6 +336,9 @@
             or call.started < self._generation_changed_at
         ):
             return False
+        if self._generation is None:
+            self._generation = generation
+            return False
         self._generation = generation
         self._generation_changed_at = self._clock.monotonic()
         return True
--- a/src/sassafrashold/leafs/client.py
+++ b/src/sassafrashold/leafs/client.py
@@ -23,6 +23,7 @@
 _KEEPALIVE_TIMEOUT_S = 3600.0
 _HEADERS = {"Content-Type": "application/json"}
 _CODE_BY_REFUSAL = {
+    (409, "GENERATION_CHANGED"): errors.ErrorCode.LEAF_RESTARTED,
     (410, "VERSION_GONE"): errors.ErrorCode.VERSION_GONE,
     (503, "SHED"): errors.ErrorCode.LEAF_SHED,
     (503, "DRAINING"): errors.ErrorCode.DRAINING,
@@ -128,6 +129,7 @@
         items: Sequence[Item],
         deadline: datetime.datetime,
         traceparent: str | None = None,
+        generation: str | None = None,
     ) -> QueryAnswer:
         """Searches shards of the leaf.
 
@@ -138,6 +140,9 @@
             items: Shards and queries.
             deadline: Wall time at which the leaf stops; at most 2 s ahead.
             traceparent: W3C trace context; None to send none.
+            generation: Generation that must run the call. A leaf that has
+                restarted since refuses it, so that calls on their way can't
+                exceed what a cold leaf bears. None for any generation.
 
         Raises:
             LeafError: NOT_RUN only if the leaf said so or nothing was sent.
@@ -150,6 +155,7 @@
                 "service": service,
                 "index_version": index_version,
                 "deadline_unix_ms": clock_lib.to_unix_ms(deadline),
+                **_generation_field(generation),
             }
         )
         parts = [
@@ -175,6 +181,7 @@
         body: bytes,
         deadline: datetime.datetime,
         traceparent: str | None = None,
+        generation: str | None = None,
     ) -> DispatchAnswer:
         """Makes a non-idempotent call; the errors are those of `query`.
 
@@ -184,12 +191,14 @@
             body: JSON text.
             deadline: As in `query`.
             traceparent: As in `query`.
+            generation: As in `query`.
         """
         head = documents.dump(
             {
                 "idempotency_key": idempotency_key,
                 "claim_id": claim_id,
                 "deadline_unix_ms": clock_lib.to_unix_ms(deadline),
+                **_generation_field(generation),
             }
         )
         content = head[:-1] + b',"body":' + body + b"}"
@@ -339,6 +348,10 @@
     return document if isinstance(document, dict) else None
 
 
+def _generation_field(generation: str | None) -> dict[str, str]:
+    return {} if generation is None else {"generation": generation}
+
+
 def _generation(document: dict[str, Any]) -> str:
     return str(document.get("generation", ""))
 
--- a/src/sassafrashold/owner/_leaf_task.py
+++ b/src/sassafrashold/owner/_leaf_task.py
@@ -158,7 +158,12 @@
 
     def _fail(self, message: _messages.Failed) -> leafs.Answers:
         batch = message.flight.batch
-        answered = message.error.code is errors.ErrorCode.LEAF_FAILED
+        code = message.error.code
+        answered = code is errors.ErrorCode.LEAF_FAILED
+        if code is errors.ErrorCode.LEAF_RESTARTED and not batch.work.dispatch:
+            self._context.metrics.count("leaf.calls_for_ended_generation")
+            self.aggregate.requeue(batch, message.error, message.flight.waiters)
+            return []
         if not message.sent or (message.flight.cancelled and answered):
             return self.aggregate.record_not_sent(batch, message.error)
         self._context.metrics.count(
@@ -336,6 +341,7 @@
             items,
             deadline,
             traceparent,
+            self.aggregate.state.generation,
         )
         rows = answer.rows_by_id
         return _messages.Succeeded(
@@ -361,6 +367,7 @@
             work.body,
             deadline,
             traceparent,
+            self.aggregate.state.generation,
         )
         return _messages.Succeeded(
             flight, answer.generation, {0: answer.result}
--- a/src/sassafrashold/search/_failures.py
+++ b/src/sassafrashold/search/_failures.py
@@ -28,6 +28,7 @@
         errors.ErrorCode.UNAVAILABLE,
         errors.ErrorCode.DRAINING,
         errors.ErrorCode.NOT_READY,
+        errors.ErrorCode.LEAF_RESTARTED,
     }
 )
 _EXCLUDE_CODES = frozenset(
--- a/src/sassafrashold/standins/_leaf.py
+++ b/src/sassafrashold/standins/_leaf.py
@@ -82,6 +82,9 @@
     query_ids: tuple[str, ...] = ()
     """Item ids; empty for a dispatch."""
 
+    generation: str | None = None
+    """Generation that must run the call; None for any."""
+
 
 @dataclasses.dataclass
 class Call:
@@ -245,6 +248,8 @@
             return Refusal(504, "EXPIRED")
         if self.faults.draining:
             return Refusal(503, "DRAINING")
+        if request.generation not in (None, str(self.generation)):
+            return Refusal(409, "GENERATION_CHANGED")
         if self._chance(self.faults.shed_percent):
             return Refusal(503, "SHED", _RETRY_AFTER_MS)
         if request.kind == "query":
--- a/src/sassafrashold/standins/_leaf_server.py
+++ b/src/sassafrashold/standins/_leaf_server.py
@@ -286,6 +286,9 @@
         DocumentError: A field is missing or of another type.
     """
     deadline = documents.get("body", document, "deadline_unix_ms", int)
+    generation = document.get("generation")
+    if generation is not None and not isinstance(generation, str):
+        raise documents.invalid("body", "generation: expected text")
     if kind == "dispatch":
         return _leaf.Request(
             documents.get("body", document, "claim_id", str),
@@ -295,6 +298,7 @@
             (),
             documents.get("body", document, "idempotency_key", str),
             deadline,
+            generation=generation,
         )
     items = documents.get("body", document, "items", list)
     if not items or not all(isinstance(item, dict) for item in items):
@@ -308,6 +312,7 @@
         None,
         deadline,
         tuple(str(item.get("id")) for item in items),
+        generation,
     )
 
 
