Let a few hosts of each large zone gather queries for the others (in progress)

It learns no latency and no slow leaf (the first 20 of 42 answers set its hedge delay, 24 and more extra calls a query), opens a connection for every third call, and its 1/195 of the extra calls allows about one hedge a shard.

Change: in zones of 12 hosts or more, the three hosts with the largest links gather for the others; hosts of zones without leafs use those of zones that hold the shards. The head of the answer accepts a query. Aggregators weigh as much as all other hosts in the limits of shards.

--- a/src/sassafrashold/calls/_budget.py
+++ b/src/sassafrashold/calls/_budget.py
@@ -60,6 +60,15 @@
         self._requests.append(now)
         self._drop_expired(now)
 
+    def charge(self, now: datetime.timedelta) -> None:
+        """Counts an extra call that is sent even over the budget.
+
+        Args:
+            now: Monotonic time.
+        """
+        self._drop_expired(now)
+        self._extra.append(now)
+
     def allowance(self, now: datetime.timedelta) -> float:
         """Returns the limit on extra calls in the window that ends now."""
         self._drop_expired(now)
--- a/src/sassafrashold/calls/_gather.py
+++ b/src/sassafrashold/calls/_gather.py
@@ -84,14 +84,22 @@
         self._part_by_shard: dict[int, _messages.LeafAnswer] = {}
         self._settled = [False] * len(self._calls)
 
-    def start(self, now: datetime.timedelta) -> list[_service_call.Send]:
-        """Returns the first calls; empty if too few shards are reachable."""
+    def start(
+        self, now: datetime.timedelta, repeated: bool = False
+    ) -> list[_service_call.Send]:
+        """Returns the first calls; empty if too few shards are reachable.
+
+        Args:
+            now: Monotonic time.
+            repeated: Whether another host may have sent the request to the
+                shards already.
+        """
         self._out_of_reach = self._unreachable_if_too_few(now)
         if self._out_of_reach:
             return []
         sends = []
         for shard, call in enumerate(self._calls):
-            send = call.first(now)
+            send = call.first(now, repeated)
             if send is not None:
                 sends.append(send)
             elif not call.is_waiting:
--- a/src/sassafrashold/calls/_service_call.py
+++ b/src/sassafrashold/calls/_service_call.py
@@ -108,9 +108,21 @@
         """Whether any call was sent."""
         return self._send_count > 0
 
-    def first(self, now: datetime.timedelta) -> Send | None:
-        """Returns the first call; None if no leaf can take it now."""
-        self._state.budget(self.service).add_request(now)
+    def first(
+        self, now: datetime.timedelta, repeated: bool = False
+    ) -> Send | None:
+        """Returns the first call; None if no leaf can take it now.
+
+        Args:
+            now: Monotonic time.
+            repeated: Whether another host may have sent the request to the
+                service already, so that this call is an extra one.
+        """
+        budget = self._state.budget(self.service)
+        if repeated:
+            budget.charge(now)
+        else:
+            budget.add_request(now)
         return self._send_or_wait(now)
 
     def next_time(self) -> datetime.timedelta | None:
--- a/src/sassafrashold/calls/_state.py
+++ b/src/sassafrashold/calls/_state.py
@@ -1,9 +1,13 @@
 """State shared by all calls of a host: records, budgets, latencies, limits."""
 
+import collections
 from collections.abc import Callable
 from collections.abc import Collection
+from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 import datetime
+import functools
 import random
 
 import xxhash
@@ -67,6 +71,9 @@
     cold_slack: float
     """Requests per second on top of that rate."""
 
+    weight_by_host: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    """Weights of hosts in the division of limits; others weigh 1."""
+
     def share_of(self, total: int, key: str) -> int:
         """Returns this host's share; the shares of all hosts add up to `total`.
 
@@ -75,15 +82,23 @@
             key: Name of the limited object; selects the hosts that get the
                 remainder.
         """
-        count = len(self.hosts)
-        quotient, remainder = divmod(total, count)
-        offset = xxhash.xxh32_intdigest(key.encode())
-        rank = (self.hosts.index(self.own_host) + offset) % count
-        return quotient + (1 if rank < remainder else 0)
+        # The hosts divide a circle by weight, and the key turns it: the number
+        # of whole steps of size 1 / total in a host's part is its share.
+        own_weight, start, whole = self._position
+        start += xxhash.xxh32_intdigest(key.encode()) % whole
+        return (start + own_weight) * total // whole - start * total // whole
 
     def burst(self) -> float:
         """Returns this host's share of the burst of extra calls."""
-        return self.extra_calls_burst / len(self.hosts)
+        own_weight, _, whole = self._position
+        return self.extra_calls_burst * own_weight / whole
+
+    @functools.cached_property
+    def _position(self) -> tuple[int, int, int]:
+        """Own weight, sum of the weights before this host, and of all."""
+        weights = [self.weight_by_host.get(host, 1) for host in self.hosts]
+        own = self.hosts.index(self.own_host)
+        return weights[own], sum(weights[:own]), sum(weights)
 
 
 class RouteLatency:
@@ -162,6 +177,7 @@
         self._directory = directory
         self._table = table
         self._share = share
+        self._shard_share = share
         self._random = random_source
         self._record_by_ref: dict[
             directory_lib.LeafRef, _leaf_record.LeafRecord
@@ -174,11 +190,29 @@
         """This host's share of the limits."""
         return self._share
 
-    def set_share(self, share: LimitShare) -> None:
-        """Replaces the share of the limits, when the set of hosts changes."""
+    def set_share(
+        self,
+        share: LimitShare,
+        shard_weight_by_host: Mapping[str, int] | None = None,
+    ) -> None:
+        """Replaces the share of the limits, when the set of hosts changes.
+
+        Args:
+            share: Share in the limits of services that all hosts call alike.
+            shard_weight_by_host: Weights of hosts in the limits of shards, if
+                not 1.
+        """
         self._share = share
-        for budget in self._budget_by_service.values():
-            budget.set_burst(share.burst())
+        self._shard_share = dataclasses.replace(
+            share, weight_by_host=shard_weight_by_host or {}
+        )
+        for service, budget in self._budget_by_service.items():
+            budget.set_burst(self._share_for(service).burst())
+
+    def _share_for(self, service: str) -> LimitShare:
+        current = self._table.current
+        is_shard = current is not None and service in current.shards()
+        return self._shard_share if is_shard else self._share
 
     def forget(self, ref: directory_lib.LeafRef) -> None:
         """Drops the record of a leaf incarnation that has ended."""
@@ -206,7 +240,7 @@
         if budget is None:
             budget = _budget.ExtraCallBudget(
                 self._share.extra_calls_ratio,
-                self._share.burst(),
+                self._share_for(service).burst(),
                 self._share.extra_calls_window,
                 self._started,
             )
@@ -219,7 +253,26 @@
         limits = current and current.limits_by_service.get(service)
         if not limits:
             return 1
-        return max(1, self._share.share_of(limits.max_connections, leaf_id))
+        share = self._share_for(service)
+        return max(1, share.share_of(limits.max_connections, leaf_id))
+
+    def shards_by_zone(
+        self, shards: Iterable[str], now: datetime.timedelta
+    ) -> Mapping[str, int]:
+        """Returns how many shards have a usable leaf in each reachable zone.
+
+        Args:
+            shards: Services of the shards.
+            now: Monotonic time.
+        """
+        counts: collections.Counter[str] = collections.Counter()
+        for service in shards:
+            counts.update(
+                {entry.zone for entry in self._directory.usable(service, now)}
+            )
+        for zone in self.reach.unreachable_zones:
+            counts.pop(zone, None)
+        return counts
 
     def is_reachable(self, service: str, now: datetime.timedelta) -> bool:
         """Returns whether a service has a reachable leaf.
@@ -328,7 +381,7 @@
 
     def _max_open_calls(self, entry: directory_lib.LeafEntry) -> int:
         leaf_id = entry.ref.leaf_id
-        slots_share = self._share.share_of(
+        slots_share = self._share_for(entry.service).share_of(
             entry.slots * _OPEN_CALLS_PER_SLOT, leaf_id
         )
         return min(
@@ -351,10 +404,6 @@
         limits = current and current.limits_by_service.get(entry.service)
         if not limits or limits.max_cold_rps is None:
             return True
-        total = (
-            limits.max_cold_rps * self._share.cold_burst_factor
-            + self._share.cold_slack
-        )
-        return record.cold.admits(
-            self._share.share_of(int(total), ref.leaf_id), now
-        )
+        share = self._share_for(entry.service)
+        total = limits.max_cold_rps * share.cold_burst_factor + share.cold_slack
+        return record.cold.admits(share.share_of(int(total), ref.leaf_id), now)
--- a/src/sassafrashold/front/_daemon.py
+++ b/src/sassafrashold/front/_daemon.py
@@ -10,6 +10,7 @@
 
 from aiohttp import web
 
+from sassafrashold import aggregation
 from sassafrashold import calls
 from sassafrashold import clock as clock_lib
 from sassafrashold import directory as directory_lib
@@ -17,6 +18,7 @@
 from sassafrashold import routing
 from sassafrashold import sockets
 from sassafrashold import telemetry
+from sassafrashold.front import _aggregation
 from sassafrashold.front import _health_sharing
 from sassafrashold.front import _interfaces
 from sassafrashold.front import _leaf_pool
@@ -142,6 +144,15 @@
         self._peer_server = _peers.PeerServer(
             self._view, lambda: self._sourcing.reads_store
         )
+        self._aggregator_choice = aggregation.AggregatorChoice(
+            values.host, values.zone, random_source
+        )
+        self._requests.remote_gather = _aggregation.AggregationClient(
+            self._aggregator_choice, self._state, self._peer_http, clock
+        )
+        self._aggregation_server = _aggregation.AggregationServer(
+            self._requests, self._log, lambda: self.is_ready, clock
+        )
         self._view.on_change = self._on_view_change
         self._registry = _registry.RegistryTask(
             registry,
@@ -296,17 +307,23 @@
         self._sourcing.set_other_hosts(
             [peer for peer in peers if peer.host != self._values.host]
         )
+        self._aggregator_choice.set_peers(peers)
         share = self._state.share
         hosts = tuple(sorted(peer.host for peer in peers))
         if hosts == share.hosts:
             return
         _LOGGER.info("live hosts changed", extra={"hosts": len(hosts)})
-        self._state.set_share(dataclasses.replace(share, hosts=hosts))
+        self._state.set_share(
+            dataclasses.replace(share, hosts=hosts),
+            aggregation.weight_by_host(peers),
+        )
 
     async def _serve_peers(self) -> web.ServerRunner:
-        async def handle(request: web.BaseRequest) -> web.Response:
+        async def handle(request: web.BaseRequest) -> web.StreamResponse:
             if request.path == _health_sharing.HEALTH_PATH:
                 return await self._health.handle(request)
+            if request.path == _aggregation.AGGREGATE_PATH:
+                return await self._aggregation_server.handle(request)
             return await self._peer_server.handle(request)
 
         address = self._values.peer_address
@@ -360,7 +377,9 @@
 
 
 async def _set_up_runner(handler: Any) -> web.ServerRunner:
-    runner = web.ServerRunner(web.Server(handler, access_log=None))
+    runner = web.ServerRunner(
+        web.Server(handler, access_log=None, handler_cancellation=True)
+    )
     await runner.setup()
     return runner
 
--- a/src/sassafrashold/front/_peer_http.py
+++ b/src/sassafrashold/front/_peer_http.py
@@ -1,6 +1,9 @@
 """HTTP client and responses between the hosts of the system."""
 
+import asyncio
+from collections.abc import AsyncIterator
 from collections.abc import Mapping
+import contextlib
 import datetime
 import zlib
 
@@ -57,6 +60,41 @@
         """
         return await self._call("POST", address, path, {}, compress(text))
 
+    @contextlib.asynccontextmanager
+    async def stream(
+        self,
+        address: settings.Address,
+        path: str,
+        body: bytes,
+        time_left: datetime.timedelta,
+        head_timeout: datetime.timedelta,
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        """Sends a POST request and yields the answer once its head arrived.
+
+        Leaving the context before the body was read closes the connection.
+
+        Args:
+            address: Address of the other host.
+            path: Path of the URL.
+            body: Body of the request.
+            time_left: Time limit for the whole answer.
+            head_timeout: Time limit for its head.
+
+        Raises:
+            aiohttp.ClientError: The other host did not answer, or stopped.
+            TimeoutError: A time limit has passed.
+        """
+        session = self._open_session()
+        timeout = aiohttp.ClientTimeout(total=time_left.total_seconds())
+        async with contextlib.AsyncExitStack() as stack:
+            async with asyncio.timeout(head_timeout.total_seconds()):
+                response = await stack.enter_async_context(
+                    session.post(
+                        f"http://{address}{path}", data=body, timeout=timeout
+                    )
+                )
+            yield response
+
     async def close(self) -> None:
         """Closes all connections."""
         if self._session is not None:
@@ -70,18 +108,9 @@
         query: Mapping[str, str],
         compressed: bytes | None,
     ) -> bytes:
-        if self._session is None:
-            self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(
-                    socket_factory=lambda _: sockets.stream_socket()
-                ),
-                cookie_jar=aiohttp.DummyCookieJar(),
-                timeout=aiohttp.ClientTimeout(
-                    total=_REQUEST_TIMEOUT.total_seconds()
-                ),
-            )
+        session = self._open_session()
         try:
-            async with self._session.request(
+            async with session.request(
                 method,
                 f"http://{address}{path}",
                 params=query,
@@ -96,6 +125,20 @@
             raise unavailable_error(address, f"status {status}")
         return data
 
+    def _open_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(
+                    socket_factory=lambda _: sockets.stream_socket()
+                ),
+                cookie_jar=aiohttp.DummyCookieJar(),
+                timeout=aiohttp.ClientTimeout(
+                    total=_REQUEST_TIMEOUT.total_seconds()
+                ),
+                skip_auto_headers=("User-Agent", "Accept"),
+            )
+        return self._session
+
 
 def compress(text: str) -> bytes:
     """Returns a text as a compressed HTTP body in UTF-8."""
--- a/src/sassafrashold/front/_requests.py
+++ b/src/sassafrashold/front/_requests.py
@@ -8,7 +8,9 @@
 import enum
 import logging
 from typing import Any
+from typing import Protocol
 
+from sassafrashold import aggregation
 from sassafrashold import calls
 from sassafrashold import clock as clock_lib
 from sassafrashold import routing
@@ -44,6 +46,15 @@
 # one by then.
 _CONFIGURATION_RETRY_DELAY = datetime.timedelta(milliseconds=500)
 
+# Time for the messages to and from a host that gathers for this one, with
+# their encoding.
+_PEER_ROUND_TRIP = datetime.timedelta(milliseconds=4)
+# A host that does not accept a query within this time, or this part of the
+# target latency, is not waited for: a new connection to another zone takes
+# about 6 ms, and this host still has to gather in time.
+_MAX_ACCEPT_TIME = datetime.timedelta(milliseconds=40)
+_MAX_ACCEPT_TIME_RATIO = 0.25
+
 
 class Cause(enum.Enum):
     """Why a request was not served, as logs and metrics show it."""
@@ -59,6 +70,7 @@
     LEAFS_REJECTED = "leafs_rejected"
     LEAF_FAILED = "leaf_failed"
     TOO_FEW_PARTS = "too_few_parts"
+    AGGREGATOR_FAILED = "aggregator_failed"
     DEADLINE = "deadline"
 
 
@@ -85,6 +97,35 @@
     """Fields of the log line that explain the outcome."""
 
 
+@dataclasses.dataclass(frozen=True)
+class LocalGather:
+    """States that this host has to gather a query itself."""
+
+    may_have_run: bool
+    """Whether another host may have sent the query to the shards."""
+
+
+class RemoteGather(Protocol):
+    """Gathers queries through other hosts."""
+
+    async def gather(
+        self,
+        gather: routing.Gather,
+        message: aggregation.AggregationRequest,
+        time_left: datetime.timedelta,
+        head_timeout: datetime.timedelta,
+    ) -> Reply | LocalGather:
+        """Returns the reply of another host, if one gathers the query.
+
+        Args:
+            gather: Target of the route.
+            message: The query.
+            time_left: Time limit for the reply.
+            head_timeout: Time within which the other host has to accept.
+        """
+        ...
+
+
 class RequestServer:
     """Routes requests, sends their leaf calls and builds the replies."""
 
@@ -108,6 +149,7 @@
             store_loaded: Set once the configuration and the leafs were read.
         """
         self.start_queue = calls.StartQueue()
+        self.remote_gather: RemoteGather | None = None
         self._store_loaded = store_loaded
         self._startup_wait_end = clock.monotonic() + _MAX_STARTUP_WAIT
         self._table = table
@@ -144,10 +186,11 @@
         services = self._table.select_services(route)
         match route.target:
             case routing.Gather() as gather:
-                pending_reply = self._serve_gather(
+                pending_reply = self._gather_anywhere(
                     request,
                     route,
                     gather,
+                    configuration.version,
                     arrived_at,
                     reply_deadline,
                     leaf_deadline,
@@ -172,6 +215,75 @@
         }
         return dataclasses.replace(reply, log_fields=log_fields)
 
+    def gather_for_peer(
+        self, message: aggregation.AggregationRequest
+    ) -> Coroutine[Any, Any, Reply] | None:
+        """Returns the gathering of a query of another host, not started.
+
+        None if the configurations of both hosts differ: a query must not be
+        served from an older one than its host has already used.
+        """
+        configuration = self._table.current
+        request = message.request
+        if (
+            configuration is None
+            or configuration.version != message.configuration_version
+        ):
+            return None
+        route = self._table.match(request.host, request.path)
+        if route is None or not isinstance(route.target, routing.Gather):
+            return None
+        arrived_at = self._clock.monotonic() - message.elapsed
+        reply_deadline, leaf_deadline = _deadlines(request, route, arrived_at)
+        return self._serve_gather(
+            request,
+            route,
+            route.target,
+            arrived_at,
+            reply_deadline,
+            leaf_deadline,
+        )
+
+    async def _gather_anywhere(
+        self,
+        request: calls.ClientRequest,
+        route: routing.Route,
+        gather: routing.Gather,
+        version: int,
+        arrived_at: datetime.timedelta,
+        reply_deadline: datetime.timedelta,
+        leaf_deadline: datetime.timedelta,
+    ) -> Reply:
+        """Gathers a query through another host if one is chosen for it."""
+        may_have_run = False
+        if self.remote_gather is not None:
+            now = self._clock.monotonic()
+            result = await self.remote_gather.gather(
+                gather,
+                aggregation.AggregationRequest(
+                    request, version, now - arrived_at + _PEER_ROUND_TRIP
+                ),
+                max(reply_deadline - now, _ZERO),
+                min(
+                    _MAX_ACCEPT_TIME,
+                    route.target_latency * _MAX_ACCEPT_TIME_RATIO,
+                ),
+            )
+            match result:
+                case Reply():
+                    return result
+                case LocalGather(may_have_run):
+                    pass
+        return await self._serve_gather(
+            request,
+            route,
+            gather,
+            arrived_at,
+            reply_deadline,
+            leaf_deadline,
+            repeated=may_have_run,
+        )
+
     async def _wait_for_store(self, request: calls.ClientRequest) -> None:
         """Waits until the store is read, for a bounded time after the start."""
         remaining = self._startup_wait_end - self._clock.monotonic()
@@ -225,6 +337,7 @@
         arrived_at: datetime.timedelta,
         reply_deadline: datetime.timedelta,
         leaf_deadline: datetime.timedelta,
+        repeated: bool = False,
     ) -> Reply:
         answer_at = arrived_at + max(
             route.target_latency - _ANSWER_MARGIN, route.target_latency / 2
@@ -239,7 +352,7 @@
             self._pool, self._clock, request, leaf_deadline, at_most_once=False
         )
         try:
-            exchange.dispatch(plan.start(self._clock.monotonic()))
+            exchange.dispatch(plan.start(self._clock.monotonic(), repeated))
             while True:
                 now = self._clock.monotonic()
                 outcome = plan.outcome(now)
--- a/src/sassafrashold/routing/_configuration.py
+++ b/src/sassafrashold/routing/_configuration.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 import dataclasses
 import datetime
+import functools
 
 # Tolerance for floating-point rounding when shard counts are compared.
 _ROUNDING_TOLERANCE = 1e-9
@@ -142,6 +143,10 @@
 
     def shards(self) -> frozenset[str]:
         """Returns the services that are shards of a gathering route."""
+        return self._shards
+
+    @functools.cached_property
+    def _shards(self) -> frozenset[str]:
         return frozenset(
             shard
             for routes in self.routes_by_host.values()
