--- a/src/sassafrashold/calls/_state.py
+++ b/src/sassafrashold/calls/_state.py
@@ -31,6 +31,9 @@
 _HEDGE_PERCENTILE = 95
 _LATENCY_WINDOW = datetime.timedelta(seconds=5)
 _MIN_SAMPLES = 20
+# The first answers of a query are its fastest: quantiles need the answers of
+# this many whole queries, or most of the other calls would be hedged.
+_MIN_WHOLE_QUERIES = 2
 # Defaults relative to the target latency of a route, until it has enough
 # samples.
 _DEFAULT_MEDIAN_RATIO = 0.15
@@ -104,10 +107,20 @@
 class RouteLatency:
     """Recent latency of the leafs behind a route."""
 
-    def __init__(self, target_latency: datetime.timedelta) -> None:
+    def __init__(
+        self, target_latency: datetime.timedelta, calls_per_request: int = 1
+    ) -> None:
+        """Initializes the statistics without samples.
+
+        Args:
+            target_latency: Target latency of the route.
+            calls_per_request: Number of leafs that a request is sent to.
+        """
         self._target = target_latency
         self._quantiles = quantiles.RecentQuantiles(
-            (50, _HEDGE_PERCENTILE), _LATENCY_WINDOW, _MIN_SAMPLES
+            (50, _HEDGE_PERCENTILE),
+            _LATENCY_WINDOW,
+            max(_MIN_SAMPLES, _MIN_WHOLE_QUERIES * calls_per_request),
         )
 
     def record(
@@ -230,7 +243,12 @@
         """Returns the latency statistics of a route."""
         latency = self._latency_by_route.get(route.name)
         if latency is None:
-            latency = RouteLatency(route.target_latency)
+            shards = (
+                len(route.target.shards)
+                if isinstance(route.target, routing.Gather)
+                else 1
+            )
+            latency = RouteLatency(route.target_latency, shards)
             self._latency_by_route[route.name] = latency
         return latency
 
