Bound the bytes of leaf answers, one by one and together

Cause: a body was bounded at 64 MB for each answer, and heads, interim answers, earlier answers, trailers and chunk extensions only by the deadline of the request. Eight chunked bodies without end at once took a process from 46 to 559 MB (a host has 200 to 552 MB and is killed above).

Change: 256 KiB up to the end of the head, 16 MiB an answer with all its framing, and a quarter of the host's memory (limits.memory_mb) for all open answers; over that the largest one fails and its connection is closed.

Tests: nine kinds of bytes without end, four answers at once, and answers in three framings cut at every byte, none of which is taken for an answer (a leaf that stops in its head and closes could not do that before either).

--- a/src/sassafrashold/front/_daemon.py
+++ b/src/sassafrashold/front/_daemon.py
@@ -108,7 +108,9 @@
         self._avoided_leaf_log_budget = telemetry.LineBudget(
             _MAX_AVOIDED_LEAF_LINES_PER_SECOND, clock
         )
-        self._pool = _leaf_pool.LeafPool(protocol, clock)
+        self._pool = _leaf_pool.LeafPool(
+            protocol, clock, values.max_answer_bytes
+        )
         self._metrics = _metrics.FrontMetrics()
         self._log = _request_log.RequestLog(clock)
         self._view_complete = asyncio.Event()
--- a/src/sassafrashold/front/_leaf_connection.py
+++ b/src/sassafrashold/front/_leaf_connection.py
@@ -13,13 +13,17 @@
 from aiohttp import streams
 
 from sassafrashold import calls
+from sassafrashold.front import _answer_memory
 from sassafrashold.front import _interfaces
 
 _LOGGER = logging.getLogger(__name__)
 # Most answers are a few kilobytes; larger ones are read in several chunks.
 _READ_BUFFER_BYTES = 2**20
 _MAX_HEADER_BYTES = 32768
-_MAX_BODY_BYTES = 64 * 2**20
+# All bytes up to the end of the head, with interim answers.
+_MAX_HEAD_BYTES = 4 * 2**16
+# All bytes of an answer, with its framing and any answers that it replaces.
+_MAX_ANSWER_BYTES = 16 * 2**20
 # A leaf that sends no keep-alive timeout keeps idle connections at least this
 # long.
 _DEFAULT_KEEP_ALIVE = datetime.timedelta(seconds=4)
@@ -39,20 +43,23 @@
         self,
         loop: asyncio.AbstractEventLoop,
         protocol: _interfaces.WireProtocol,
+        memory: _answer_memory.AnswerMemory,
     ) -> None:
         """Initializes the connection, which is not connected yet.
 
         Args:
             loop: The event loop.
             protocol: Wire format of leaf answers.
+            memory: Bounds the open answers of all connections.
         """
+        self._memory = memory
         self._loop = loop
         self._protocol = protocol
         self.transport: asyncio.Transport | None = None
         # aiohttp's body readers read this attribute.
         self._reading_paused = False
         self._parser: Any = None
-        self._body_bytes = 0
+        self._answer_bytes = 0
         self._pending_messages: list[tuple[Any, streams.StreamReader]] = []
         self._chunks: list[bytes] = []
         self._request_id: str | None = None
@@ -96,7 +103,7 @@
         )
         self._pending_messages.clear()
         self._chunks.clear()
-        self._body_bytes = 0
+        self._answer_bytes = 0
         self._request_id = request_id
         self._on_result = on_result
         if self.transport is not None:
@@ -105,6 +112,9 @@
     def close(self) -> None:
         """Aborts the connection; an open request gets no result."""
         self._on_result = None
+        self._memory.release(self)
+        self._chunks.clear()
+        self._pending_messages.clear()
         if self.transport is not None:
             self.transport.abort()
 
@@ -130,6 +140,25 @@
             return
         self._pending_messages.extend(messages)
         self._read_messages()
+        if self._on_result is not None:
+            self._count_bytes(len(data))
+
+    def _count_bytes(self, count: int) -> None:
+        """Counts bytes of the open answer; fails it over a limit."""
+        self._answer_bytes += count
+        if self._answer_bytes > _MAX_ANSWER_BYTES:
+            self._fail(f"answer exceeds {_MAX_ANSWER_BYTES} bytes")
+        elif (
+            self._answer_bytes > _MAX_HEAD_BYTES and not self._pending_messages
+        ):
+            self._fail(f"head of the answer exceeds {_MAX_HEAD_BYTES} bytes")
+        else:
+            self._memory.add(self, count)
+
+    def give_up(self, detail: str) -> None:
+        """Fails the open request, as answers take too much memory."""
+        if self._on_result is not None:
+            self._fail(detail)
 
     def eof_received(self) -> bool:
         """Records that the leaf closed its side without a reset."""
@@ -168,12 +197,7 @@
                 self._fail(f"unreadable answer: {error}")
                 return
             if not payload.at_eof():
-                chunk = payload.read_nowait(-1)
-                self._body_bytes += len(chunk)
-                if self._body_bytes > _MAX_BODY_BYTES:
-                    self._fail("answer is larger than is read")
-                    return
-                self._chunks.append(chunk)
+                self._chunks.append(payload.read_nowait(-1))
             if not payload.is_eof():
                 return
             self._pending_messages.pop(0)
@@ -197,6 +221,7 @@
             self.max_idle_time = keep_alive - _KEEP_ALIVE_MARGIN
         on_result = self._on_result
         self._on_result = None
+        self._memory.release(self)
         transport = self.transport
         reusable = (
             transport is not None
--- a/src/sassafrashold/front/_leaf_pool.py
+++ b/src/sassafrashold/front/_leaf_pool.py
@@ -8,6 +8,7 @@
 from sassafrashold import clock as clock_lib
 from sassafrashold import directory
 from sassafrashold import sockets
+from sassafrashold.front import _answer_memory
 from sassafrashold.front import _interfaces
 from sassafrashold.front import _leaf_connection
 
@@ -19,6 +20,9 @@
 # then be unknown whether the request ran.
 _MAX_IDLE_FOR_AT_MOST_ONCE = datetime.timedelta(seconds=1)
 
+# Suits a host with 200 MB of memory.
+DEFAULT_MAX_ANSWER_BYTES = 48 * 2**20
+
 OnResult = Callable[[calls.CallResult], None]
 
 
@@ -65,14 +69,19 @@
     """Pools idle connections for each incarnation of a leaf."""
 
     def __init__(
-        self, protocol: _interfaces.WireProtocol, clock: clock_lib.Clock
+        self,
+        protocol: _interfaces.WireProtocol,
+        clock: clock_lib.Clock,
+        max_answer_bytes: int = DEFAULT_MAX_ANSWER_BYTES,
     ) -> None:
         """Initializes an empty pool.
 
         Args:
             protocol: Wire format of leaf requests and answers.
             clock: The clock.
+            max_answer_bytes: Maximum size of all open answers together.
         """
+        self.answer_memory = _answer_memory.AnswerMemory(max_answer_bytes)
         self._protocol = protocol
         self._clock = clock
         self._idle_by_ref: dict[
@@ -211,7 +220,7 @@
                 )
                 _, connection = await loop.create_connection(
                     lambda: _leaf_connection.LeafConnection(
-                        loop, self._protocol
+                        loop, self._protocol, self.answer_memory
                     ),
                     sock=sock,
                 )
--- a/src/sassafrashold/front/_settings.py
+++ b/src/sassafrashold/front/_settings.py
@@ -28,6 +28,9 @@
     link_mbps: float
     """Bandwidth of the host's link, in Mbit/s; 0 if it is not known."""
 
+    max_answer_bytes: int
+    """Maximum size of all leaf answers that are being received."""
+
     bootstrap: bool
     """Whether this is the first start of the whole system."""
 
--- a/src/sassafrashold/front/tests/test_leaf_pool.py
+++ b/src/sassafrashold/front/tests/test_leaf_pool.py
@@ -33,10 +33,12 @@
 class _ScriptedLeaf:
     """A leaf that answers each request with one list of given chunks.
 
-    The chunk None closes the connection, "reset" resets it.
+    The chunk None closes the connection, "reset" resets it. A chunk in a list
+    is sent without end, until the other side closes.
     """
 
-    def __init__(self):
+    def __init__(self, max_answer_bytes=2**30):
+        self.max_answer_bytes = max_answer_bytes
         self.chunks_by_request = []
         self.requests = []
         self.connections = 0
@@ -53,7 +55,9 @@
             draining=False,
             cold_for=datetime.timedelta(),
         )
-        self.pool = _leaf_pool.LeafPool(wire, clock_lib.SystemClock())
+        self.pool = _leaf_pool.LeafPool(
+            wire, clock_lib.SystemClock(), self.max_answer_bytes
+        )
         return self
 
     async def __aexit__(self, *_):
@@ -78,6 +82,9 @@
                         )
                         writer.transport.abort()
                         return
+                    while isinstance(chunk, list):
+                        writer.write(chunk[0])
+                        await writer.drain()
                     writer.write(chunk)
                     await asyncio.sleep(0.01)
         except (asyncio.IncompleteReadError, ConnectionError, IndexError):
@@ -234,3 +241,87 @@
             calls.FailureKind.WRONG_LEAF,
             calls.FailureKind.ERROR,
         ]
+
+
+_LENGTH_ANSWER = _ok_answer(b"a")
+_CHUNKED_HEAD = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nServer-Stamp: sig\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n"
+)
+_CHUNKED_ANSWER = _CHUNKED_HEAD + b"4\r\nbody\r\n0\r\n\r\n"
+_UNFRAMED_HEAD = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nServer-Stamp: sig\r\n\r\n"
+)
+_BLOCK = b"x" * 2**16
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        *(_LENGTH_ANSWER[:size] for size in range(len(_LENGTH_ANSWER))),
+        *(_CHUNKED_ANSWER[:size] for size in range(len(_CHUNKED_ANSWER))),
+        # From the end of the head on, a close is the end of the body.
+        *(_UNFRAMED_HEAD[:size] for size in range(len(_UNFRAMED_HEAD))),
+    ],
+)
+async def test_answer_cut_at_any_byte_is_no_answer(data):
+    """Guards against a leaf that stops in its head and closes.
+
+    Elsewhere, callers got 200 with an empty or short body, framed as whole.
+    """
+    async with _ScriptedLeaf() as leaf:
+        leaf.chunks_by_request = [[data, None]]
+        result = await leaf.send_request("a")
+        assert isinstance(result, calls.Failed)
+        assert result.may_have_run
+
+
+_ENDLESS = {
+    "head": [b"HTTP/1.1 200 OK\r\n", [b"X-Any: " + b"y" * 1000 + b"\r\n"]],
+    "line": [b"HTTP/1.1 200 OK\r\nX-Any: ", [_BLOCK]],
+    "interim answers": [[b"HTTP/1.1 102 Processing\r\n\r\n" * 100]],
+    "earlier answers": [[_ok_answer(b"other") * 100]],
+    "chunked body": [_CHUNKED_HEAD, [b"10000\r\n" + _BLOCK + b"\r\n"]],
+    "chunk extension": [_CHUNKED_HEAD, b"4;", [_BLOCK]],
+    "trailers": [_CHUNKED_HEAD, b"0\r\n", [b"X: " + b"y" * 1000 + b"\r\n"]],
+    "unframed body": [_UNFRAMED_HEAD, [_BLOCK]],
+    "no http": [[b"\x00" * 2**16]],
+}
+
+
+@pytest.mark.parametrize("kind", _ENDLESS)
+async def test_bytes_without_end_are_given_up(kind):
+    async with _ScriptedLeaf() as leaf:
+        leaf.chunks_by_request = [_ENDLESS[kind], [_ok_answer(b"b")]]
+        result = await leaf.send_request("a", timeout_s=10)
+        assert isinstance(result, calls.Failed)
+        assert result.may_have_run
+        assert leaf.pool.answer_memory.total == 0
+        # Other requests go on, on a new connection.
+        result = await leaf.send_request("b")
+        assert result.answer.body == b"body"
+
+
+async def test_open_answers_together_stay_within_the_memory_limit():
+    limit = 2**22
+    async with _ScriptedLeaf(limit) as leaf:
+        slow = [_CHUNKED_HEAD + b"10\r\n" + b"z" * 16, None]
+        endless = _ENDLESS["chunked body"]
+        leaf.chunks_by_request = [endless, endless, slow, endless]
+        most = 0
+
+        async def watch():
+            nonlocal most
+            while True:
+                most = max(most, leaf.pool.answer_memory.total)
+                await asyncio.sleep(0)
+
+        watcher = asyncio.create_task(watch())
+        results = await asyncio.gather(
+            *(leaf.send_request("a", timeout_s=10) for _ in range(4))
+        )
+        watcher.cancel()
+        details = sorted(result.detail for result in results)
+        assert most <= limit
+        assert sum("open answers exceed" in text for text in details) >= 2
+        assert leaf.pool.answer_memory.total == 0
--- a/src/sassafrashold/platform/boot.py
+++ b/src/sassafrashold/platform/boot.py
@@ -66,6 +66,9 @@
     link_mbps: float
     """Bandwidth of the host's link, in Mbit/s; 0 if unknown."""
 
+    memory_mb: float
+    """Memory limit of the process, in MB; 0 if unknown."""
+
     bootstrap: bool
     """Whether the whole system starts for the first time."""
 
@@ -171,6 +174,7 @@
         peers=fields.address("listen.control"),
         seeds=fields.addresses("seeds"),
         link_mbps=fields.number("limits.link_mbps", default="0"),
+        memory_mb=fields.number("limits.memory_mb", default="0"),
         bootstrap=value_by_name.get("bootstrap") == "true",
         store=fields.address("platform.address"),
         bounds=Bounds(
--- a/src/sassafrashold/platform/process.py
+++ b/src/sassafrashold/platform/process.py
@@ -20,6 +20,10 @@
 from sassafrashold.platform import wire
 
 _LOGGER = logging.getLogger(__name__)
+# Part of the memory of a host for leaf answers that are being received; the
+# process itself takes up to 60 MB.
+_ANSWER_MEMORY_RATIO = 0.25
+_BYTES_PER_MB = 2**20
 
 
 def front_settings(
@@ -39,6 +43,7 @@
         peer_address=values.peers,
         seeds=values.seeds,
         link_mbps=values.link_mbps,
+        max_answer_bytes=_max_answer_bytes(values.memory_mb),
         bootstrap=values.bootstrap,
         metrics_address=metrics if metrics_port else None,
         leaf_drain_time=values.bounds.drain,
@@ -51,6 +56,12 @@
     )
 
 
+def _max_answer_bytes(memory_mb: float) -> int:
+    if not memory_mb:
+        return front.DEFAULT_MAX_ANSWER_BYTES
+    return int(memory_mb * _ANSWER_MEMORY_RATIO * _BYTES_PER_MB)
+
+
 def run(
     values: boot.HostSettings,
     path: pathlib.Path,
