Gather each query in groups of shards near their leafs

Cause: each shard of the large sites has leafs in three of the five (or four) zones. A zone that held one shard more than the others also drew all their queries.

Change: the host of a query divides its shards into at most three groups: the own zone's, and for the rest the fewest zones that hold them. One host of each zone gathers its group and sends the merged records; the host of the query merges these. Parts that come late follow in the same reply, so an answer that has too few when it is due can still be completed.

Tests first: messages between zones for a query (1, was more than 14), groups that hold each shard once, failures at every step over real sockets, merging without network. An endless line of a host raised through the request; found by its test, mended.

--- a/src/sassafrashold/aggregation/_choice.py
+++ b/src/sassafrashold/aggregation/_choice.py
@@ -1,8 +1,11 @@
 """Selects the hosts that gather for others, and one of them for a query."""
 
 import collections
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
 import datetime
 import random
 
@@ -15,6 +18,11 @@
 # The parts of a query arrive at the same time, so their host needs a link
 # comparable to the largest ones of its zone.
 _MIN_LINK_RATIO = 0.5
+# Limit on the groups of a query: the slowest one determines its latency.
+_MAX_GROUPS = 3
+# A message to another zone costs about as many bytes as calls to this many of
+# its leafs.
+_MIN_REMOTE_SHARDS = 4
 # Time for which a host that failed is not chosen; doubled with each failure in
 # a row.
 _FIRST_AVOID_TIME = datetime.timedelta(seconds=1)
@@ -71,8 +79,19 @@
     return dict.fromkeys(names, weight)
 
 
+@dataclasses.dataclass(frozen=True)
+class ShardGroup:
+    """Shards of a query that one host gathers."""
+
+    aggregator: relay.Peer | None
+    """The host that gathers them; None for the host of the query."""
+
+    shards: tuple[int, ...]
+    """Indices of the shards, in order."""
+
+
 class AggregatorChoice:
-    """Chooses the host that gathers a query; no I/O."""
+    """Chooses the hosts that gather the shards of a query; no I/O."""
 
     def __init__(
         self, own_host: str, own_zone: str, random_source: random.Random
@@ -96,36 +115,101 @@
         """Sets the live hosts of all zones, this one included."""
         self._aggregators_by_zone = aggregators_by_zone(peers)
 
-    def choose(
-        self, shards_by_zone: Mapping[str, int], now: datetime.timedelta
-    ) -> relay.Peer | None:
-        """Returns the host that gathers a query; None for this host.
+    def divide(
+        self,
+        zones_by_shard: Sequence[Collection[str]],
+        now: datetime.timedelta,
+    ) -> tuple[ShardGroup, ...]:
+        """Divides the shards of a query among hosts near their leafs.
 
-        The own zone comes first if it holds as many shards as any other, then
-        the zones that hold most shards.
+        The own zone gathers all shards that it holds. The others go to as few
+        other zones as possible, as each of them costs a message between zones
+        and a shard that is called from another zone costs one as well.
 
         Args:
-            shards_by_zone: Number of shards of the query with a usable leaf,
-                for each reachable availability zone.
+            zones_by_shard: For each shard, the reachable zones that have a
+                usable leaf of it.
             now: Monotonic time.
+
+        Returns:
+            Groups that hold each shard once; a single group without an
+            aggregator if this host gathers the whole query.
         """
-        most = max(shards_by_zone.values(), default=0)
-        if not most:
-            return None
-        own_zone_holds_most = shards_by_zone.get(self._own_zone, 0) == most
-        if own_zone_holds_most:
-            zones = [self._own_zone]
+        remaining = set(range(len(zones_by_shard)))
+        groups: list[ShardGroup] = []
+        candidates_by_zone = self._candidates_by_zone(now)
+        while remaining and candidates_by_zone and len(groups) < _MAX_GROUPS:
+            zone, held = self._best_zone(
+                zones_by_shard, remaining, candidates_by_zone
+            )
+            if len(held) < _MIN_REMOTE_SHARDS and zone != self._own_zone:
+                break
+            candidates = candidates_by_zone.pop(zone)
+            if held:
+                groups.append(ShardGroup(self._pick(candidates), held))
+                remaining.difference_update(held)
+        if not groups:
+            return (ShardGroup(None, tuple(sorted(remaining))),)
+        if remaining:
+            first = groups[0]
+            shards = tuple(sorted((*first.shards, *remaining)))
+            groups[0] = ShardGroup(first.aggregator, shards)
+        return tuple(groups)
+
+    def _candidates_by_zone(
+        self, now: datetime.timedelta
+    ) -> dict[str, tuple[relay.Peer, ...]]:
+        """Returns the usable aggregators of each zone that has any.
+
+        The own zone is always listed: this host gathers in place of its
+        aggregators if it is one of them or if all have failed.
+        """
+        candidates_by_zone: dict[str, tuple[relay.Peer, ...]] = {
+            self._own_zone: ()
+        }
+        for zone, aggregators in self._aggregators_by_zone.items():
+            if any(peer.host == self._own_host for peer in aggregators):
+                continue
+            usable = tuple(
+                peer
+                for peer in aggregators
+                if self._avoid_until_by_host.get(peer.host, _ZERO) <= now
+            )
+            if usable:
+                candidates_by_zone[zone] = usable
+        return candidates_by_zone
+
+    def _best_zone(
+        self,
+        zones_by_shard: Sequence[Collection[str]],
+        remaining: Collection[int],
+        zones: Collection[str],
+    ) -> tuple[str, tuple[int, ...]]:
+        """Returns the own zone, or else the one that holds most shards."""
+        if self._own_zone in zones:
+            best = self._own_zone
         else:
-            zones = [zone for zone, n in shards_by_zone.items() if n == most]
-        candidates = [
-            peer
-            for zone in zones
-            for peer in self._aggregators_by_zone.get(zone, ())
-            if self._avoid_until_by_host.get(peer.host, _ZERO) <= now
-        ]
-        if not candidates or any(
-            peer.host == self._own_host for peer in candidates
-        ):
+            held_by_zone = collections.Counter(
+                zone
+                for shard in remaining
+                for zone in zones_by_shard[shard]
+                if zone in zones
+            )
+            most = max(held_by_zone.values(), default=0)
+            best = self._random.choice(
+                sorted(
+                    zone for zone in zones if held_by_zone.get(zone, 0) == most
+                )
+            )
+        return best, tuple(
+            sorted(
+                shard for shard in remaining if best in zones_by_shard[shard]
+            )
+        )
+
+    def _pick(self, candidates: Sequence[relay.Peer]) -> relay.Peer | None:
+        """Returns the less busy one of two random hosts; None without any."""
+        if not candidates:
             return None
         pair = self._random.sample(candidates, min(2, len(candidates)))
         return min(pair, key=lambda peer: self._open_by_host[peer.host])
--- a/src/sassafrashold/aggregation/_messages.py
+++ b/src/sassafrashold/aggregation/_messages.py
@@ -1,5 +1,6 @@
 """Messages between a host and the one that gathers for it."""
 
+from collections.abc import Mapping
 import dataclasses
 import datetime
 import json
@@ -11,6 +12,15 @@
 
 # Header names and values, and bodies of callers, are arbitrary bytes.
 _BYTES_ENCODING = "latin-1"
+_MAX_RECORD_BYTES = 2**20
+_DECODING_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -26,28 +36,32 @@
     elapsed: datetime.timedelta
     """Time since the request arrived, with the way of both messages."""
 
+    shards: tuple[int, ...]
+    """Indices of the shards to gather, in the order of the configuration."""
+
+    max_missing: int
+    """Number of these shards that the answer may leave out."""
 
-@dataclasses.dataclass(frozen=True)
-class AggregationReply:
-    """The merged answer to a query."""
 
-    status: int
-    """HTTP status of the answer to the caller."""
+@dataclasses.dataclass(frozen=True)
+class MergedParts:
+    """Parts of an answer that came in together, merged.
 
-    headers: tuple[tuple[str, str], ...]
-    """End-to-end headers."""
+    A reply is a series of these. The first one is sent once all shards have
+    answered, or when the answer is due; later ones hold only later parts.
+    """
 
-    missing: tuple[str, ...]
-    """Services whose shards are missing."""
+    signature_by_shard: Mapping[int, str]
+    """Signatures of the parts, by index of the shard."""
 
-    cause: str | None
-    """Why the request was not served; None if it was."""
+    records: bytes
+    """The greatest records of these parts, in descending order."""
 
-    not_run: bool
-    """Whether no leaf has got the request."""
+    final: bool
+    """Whether no further parts follow."""
 
-    body: bytes
-    """The whole body."""
+    sent: bool
+    """Whether a leaf may have run the request."""
 
 
 def encode_request(message: AggregationRequest) -> bytes:
@@ -68,6 +82,8 @@
             "body": request.body.decode(_BYTES_ENCODING),
             "version": message.configuration_version,
             "elapsed_us": message.elapsed // datetime.timedelta(microseconds=1),
+            "shards": message.shards,
+            "max_missing": message.max_missing,
         }
     )
 
@@ -105,64 +121,77 @@
             ),
             int(document["version"]),
             datetime.timedelta(microseconds=int(document["elapsed_us"])),
+            tuple(_index(shard) for shard in document["shards"]),
+            int(document["max_missing"]),
         )
-    except (
-        ValueError,
-        KeyError,
-        TypeError,
-        AttributeError,
-        OverflowError,
-        RecursionError,
-    ) as error:
+    except _DECODING_ERRORS as error:
         raise _invalid("aggregation request", error) from error
 
 
-def encode_reply(reply: AggregationReply) -> bytes:
-    """Encodes a reply as a line of JSON, followed by the body."""
+def encode_parts(parts: MergedParts) -> bytes:
+    """Encodes parts as a line of JSON, followed by the records."""
     head = _to_json(
         {
-            "status": reply.status,
-            "headers": reply.headers,
-            "missing": reply.missing,
-            "cause": reply.cause,
-            "not_run": reply.not_run,
-            "body_bytes": len(reply.body),
+            "parts": list(parts.signature_by_shard.items()),
+            "final": parts.final,
+            "sent": parts.sent,
+            "record_bytes": len(parts.records),
         }
     )
-    return head + b"\n" + reply.body
+    return head + b"\n" + parts.records
 
 
-def decode_reply(data: bytes) -> AggregationReply:
-    """Decodes a reply.
+def decode_parts_head(line: bytes) -> tuple[MergedParts, int]:
+    """Decodes the line before the records.
+
+    Returns:
+        The parts without their records, and the size of these in bytes.
 
     Raises:
-        DocumentError: The data is not a complete encoded reply.
+        DocumentError: The line is not complete or not such a line.
     """
-    head, _, body = data.partition(b"\n")
     try:
-        document = json.loads(head)
-        if document["body_bytes"] != len(body):
-            raise ValueError(
-                f"{len(body)} of {document['body_bytes']} body bytes"
-            )
-        cause = document["cause"]
-        return AggregationReply(
-            int(document["status"]),
-            tuple((str(name), str(text)) for name, text in document["headers"]),
-            tuple(str(service) for service in document["missing"]),
-            None if cause is None else str(cause),
-            bool(document["not_run"]),
-            body,
+        if not line.endswith(b"\n"):
+            raise ValueError("line not complete")
+        document = json.loads(line)
+        signature_by_shard = {
+            _index(shard): _text(signature)
+            for shard, signature in document["parts"]
+        }
+        if len(signature_by_shard) != len(document["parts"]):
+            raise ValueError("shard listed twice")
+        record_bytes = _index(document["record_bytes"])
+        if record_bytes > _MAX_RECORD_BYTES:
+            raise ValueError(f"{record_bytes} bytes of records")
+        return (
+            MergedParts(
+                signature_by_shard,
+                b"",
+                _boolean(document["final"]),
+                _boolean(document["sent"]),
+            ),
+            record_bytes,
         )
-    except (
-        ValueError,
-        KeyError,
-        TypeError,
-        AttributeError,
-        OverflowError,
-        RecursionError,
-    ) as error:
-        raise _invalid("aggregation reply", error) from error
+    except _DECODING_ERRORS as error:
+        raise _invalid("merged parts", error) from error
+
+
+def _index(value: Any) -> int:
+    if type(value) is not int or value < 0:
+        raise ValueError(f"{value!r} is not an index")
+    return value
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise ValueError(f"{value!r} is not a text")
+    return value
+
+
+def _boolean(value: Any) -> bool:
+    if not isinstance(value, bool):
+        raise ValueError(f"{value!r} is not a boolean")
+    return value
 
 
 def _invalid(kind: str, error: Exception) -> errors.DocumentError:
--- a/src/sassafrashold/calls/__init__.py
+++ b/src/sassafrashold/calls/__init__.py
@@ -7,6 +7,7 @@
 from sassafrashold.calls._gather import GatherOutcome
 from sassafrashold.calls._gather import GatherPlan
 from sassafrashold.calls._gather import GatherTimes
+from sassafrashold.calls._gather import unreachable_if_too_few
 from sassafrashold.calls._leaf_record import LeafRecord
 from sassafrashold.calls._merge import greatest_records
 from sassafrashold.calls._messages import Answered
@@ -15,6 +16,8 @@
 from sassafrashold.calls._messages import Failed
 from sassafrashold.calls._messages import FailureKind
 from sassafrashold.calls._messages import LeafAnswer
+from sassafrashold.calls._part_merger import PartMerger
+from sassafrashold.calls._part_merger import proportional_shares
 from sassafrashold.calls._reach import FAILED_LEAFS_UNTIL_UNREACHABLE
 from sassafrashold.calls._reach import ZoneFailover
 from sassafrashold.calls._reach import ZoneReach
@@ -39,10 +42,13 @@
     "LeafAnswer",
     "LeafRecord",
     "LimitShare",
+    "PartMerger",
     "Send",
     "ServiceCall",
     "StartQueue",
     "ZoneFailover",
     "ZoneReach",
     "greatest_records",
+    "proportional_shares",
+    "unreachable_if_too_few",
 ]
--- a/src/sassafrashold/calls/_state.py
+++ b/src/sassafrashold/calls/_state.py
@@ -1,6 +1,5 @@
 """State shared by all calls of a host: records, budgets, latencies, limits."""
 
-import collections
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
@@ -274,23 +273,35 @@
         share = self._share_for(service)
         return max(1, share.share_of(limits.max_connections, leaf_id))
 
-    def shards_by_zone(
+    def zones_by_shard(
         self, shards: Iterable[str], now: datetime.timedelta
-    ) -> Mapping[str, int]:
-        """Returns how many shards have a usable leaf in each reachable zone.
+    ) -> tuple[frozenset[str], ...]:
+        """Returns the reachable zones that have a usable leaf of each shard.
+
+        Zones where all these leafs are outliers are left out if another zone
+        has a better one.
 
         Args:
             shards: Services of the shards.
             now: Monotonic time.
         """
-        counts: collections.Counter[str] = collections.Counter()
+        unreachable = self.reach.unreachable_zones
+        zones_by_shard = []
         for service in shards:
-            counts.update(
-                {entry.zone for entry in self._directory.usable(service, now)}
+            entries = [
+                entry
+                for entry in self._directory.usable(service, now)
+                if entry.zone not in unreachable
+            ]
+            healthy = frozenset(
+                entry.zone
+                for entry in entries
+                if not self.avoided_leafs.is_outlier(entry.ref, now)
+            )
+            zones_by_shard.append(
+                healthy or frozenset(entry.zone for entry in entries)
             )
-        for zone in self.reach.unreachable_zones:
-            counts.pop(zone, None)
-        return counts
+        return tuple(zones_by_shard)
 
     def is_reachable(self, service: str, now: datetime.timedelta) -> bool:
         """Returns whether a service has a reachable leaf.
--- a/src/sassafrashold/front/_daemon.py
+++ b/src/sassafrashold/front/_daemon.py
@@ -19,6 +19,7 @@
 from sassafrashold import sockets
 from sassafrashold import telemetry
 from sassafrashold.front import _aggregation
+from sassafrashold.front import _gathering
 from sassafrashold.front import _health_sharing
 from sassafrashold.front import _interfaces
 from sassafrashold.front import _leaf_pool
@@ -149,11 +150,15 @@
         self._aggregator_choice = aggregation.AggregatorChoice(
             values.host, values.zone, random_source
         )
-        self._requests.remote_gather = _aggregation.AggregationClient(
-            self._aggregator_choice, self._state, self._peer_http, clock
+        self._requests.divided_gather = _gathering.DividedGather(
+            self._requests.local_gather,
+            _aggregation.AggregationClient(
+                self._aggregator_choice, self._state, self._peer_http, clock
+            ),
+            clock,
         )
         self._aggregation_server = _aggregation.AggregationServer(
-            self._requests, self._log, lambda: self.is_ready, clock
+            self._requests, lambda: self.is_ready, clock
         )
         self._view.on_change = self._on_view_change
         self._registry = _registry.RegistryTask(
--- a/src/sassafrashold/front/_requests.py
+++ b/src/sassafrashold/front/_requests.py
@@ -8,13 +8,13 @@
 import enum
 import logging
 from typing import Any
-from typing import Protocol
 
 from sassafrashold import aggregation
 from sassafrashold import calls
 from sassafrashold import clock as clock_lib
 from sassafrashold import routing
 from sassafrashold.front import _exchange
+from sassafrashold.front import _gathering
 from sassafrashold.front import _interfaces
 from sassafrashold.front import _leaf_pool
 
@@ -46,15 +46,6 @@
 # one by then.
 _CONFIGURATION_RETRY_DELAY = datetime.timedelta(milliseconds=500)
 
-# Time for the messages to and from a host that gathers for this one, with
-# their encoding.
-_PEER_ROUND_TRIP = datetime.timedelta(milliseconds=4)
-# A host that does not accept a query within this time, or this part of the
-# target latency, is not waited for: a new connection to another zone takes
-# about 6 ms, and this host still has to gather in time.
-_MAX_ACCEPT_TIME = datetime.timedelta(milliseconds=40)
-_MAX_ACCEPT_TIME_RATIO = 0.25
-
 
 class Cause(enum.Enum):
     """Why a request was not served, as logs and metrics show it."""
@@ -70,7 +61,6 @@
     LEAFS_REJECTED = "leafs_rejected"
     LEAF_FAILED = "leaf_failed"
     TOO_FEW_PARTS = "too_few_parts"
-    AGGREGATOR_FAILED = "aggregator_failed"
     DEADLINE = "deadline"
 
 
@@ -97,35 +87,6 @@
     """Fields of the log line that explain the outcome."""
 
 
-@dataclasses.dataclass(frozen=True)
-class LocalGather:
-    """States that this host has to gather a query itself."""
-
-    may_have_run: bool
-    """Whether another host may have sent the query to the shards."""
-
-
-class RemoteGather(Protocol):
-    """Gathers queries through other hosts."""
-
-    async def gather(
-        self,
-        gather: routing.Gather,
-        message: aggregation.AggregationRequest,
-        time_left: datetime.timedelta,
-        head_timeout: datetime.timedelta,
-    ) -> Reply | LocalGather:
-        """Returns the reply of another host, if one gathers the query.
-
-        Args:
-            gather: Target of the route.
-            message: The query.
-            time_left: Time limit for the reply.
-            head_timeout: Time within which the other host has to accept.
-        """
-        ...
-
-
 class RequestServer:
     """Routes requests, sends their leaf calls and builds the replies."""
 
@@ -149,7 +110,8 @@
             store_loaded: Set once the configuration and the leafs were read.
         """
         self.start_queue = calls.StartQueue()
-        self.remote_gather: RemoteGather | None = None
+        self.local_gather = _gathering.LocalGather(state, pool, clock)
+        self.divided_gather: _gathering.DividedGather | None = None
         self._store_loaded = store_loaded
         self._startup_wait_end = clock.monotonic() + _MAX_STARTUP_WAIT
         self._table = table
@@ -186,14 +148,16 @@
         services = self._table.select_services(route)
         match route.target:
             case routing.Gather() as gather:
-                pending_reply = self._gather_anywhere(
-                    request,
-                    route,
-                    gather,
-                    configuration.version,
-                    arrived_at,
-                    reply_deadline,
-                    leaf_deadline,
+                pending_reply = self._serve_gather(
+                    _gathering.Query(
+                        request,
+                        route,
+                        gather,
+                        configuration.version,
+                        arrived_at,
+                        _gather_times(route, arrived_at, reply_deadline),
+                        leaf_deadline,
+                    )
                 )
                 if startup_delay > route.target_latency:
                     reply = await self._serve_queued(
@@ -215,10 +179,10 @@
         }
         return dataclasses.replace(reply, log_fields=log_fields)
 
-    def gather_for_peer(
+    def query_of_peer(
         self, message: aggregation.AggregationRequest
-    ) -> Coroutine[Any, Any, Reply] | None:
-        """Returns the gathering of a query of another host, not started.
+    ) -> _gathering.Query | None:
+        """Returns the query of another host, whose shards this host gathers.
 
         None if the configurations of both hosts differ: a query must not be
         served from an older one than its host has already used.
@@ -231,58 +195,40 @@
         ):
             return None
         route = self._table.match(request.host, request.path)
-        if route is None or not isinstance(route.target, routing.Gather):
+        if (
+            route is None
+            or not isinstance(route.target, routing.Gather)
+            or not all(
+                shard < len(route.target.shards) for shard in message.shards
+            )
+        ):
             return None
         arrived_at = self._clock.monotonic() - message.elapsed
         reply_deadline, leaf_deadline = _deadlines(request, route, arrived_at)
-        return self._serve_gather(
+        return _gathering.Query(
             request,
             route,
             route.target,
+            configuration.version,
             arrived_at,
-            reply_deadline,
+            _gather_times(route, arrived_at, reply_deadline),
             leaf_deadline,
         )
 
-    async def _gather_anywhere(
-        self,
-        request: calls.ClientRequest,
-        route: routing.Route,
-        gather: routing.Gather,
-        version: int,
-        arrived_at: datetime.timedelta,
-        reply_deadline: datetime.timedelta,
-        leaf_deadline: datetime.timedelta,
-    ) -> Reply:
-        """Gathers a query through another host if one is chosen for it."""
-        may_have_run = False
-        if self.remote_gather is not None:
-            now = self._clock.monotonic()
-            result = await self.remote_gather.gather(
-                gather,
-                aggregation.AggregationRequest(
-                    request, version, now - arrived_at + _PEER_ROUND_TRIP
-                ),
-                max(reply_deadline - now, _ZERO),
-                min(
-                    _MAX_ACCEPT_TIME,
-                    route.target_latency * _MAX_ACCEPT_TIME_RATIO,
-                ),
-            )
-            match result:
-                case Reply():
-                    return result
-                case LocalGather(may_have_run):
-                    pass
-        return await self._serve_gather(
-            request,
-            route,
-            gather,
-            arrived_at,
-            reply_deadline,
-            leaf_deadline,
-            repeated=may_have_run,
+    async def _serve_gather(self, query: _gathering.Query) -> Reply:
+        """Gathers a query, through other hosts if these are near its leafs."""
+        if self.divided_gather is None:
+            return await self._serve_undivided(query)
+        groups = self.divided_gather.divide(query.gather)
+        if len(groups) == 1 and groups[0].aggregator is None:
+            return await self._serve_undivided(query)
+        unreachable = calls.unreachable_if_too_few(
+            self._state, query.gather, self._clock.monotonic()
         )
+        if unreachable:
+            return self._out_of_reach(unreachable, {})
+        outcome, log_fields = await self.divided_gather.gather(query, groups)
+        return self._gather_reply(query, outcome, log_fields)
 
     async def _wait_for_store(self, request: calls.ClientRequest) -> None:
         """Waits until the store is read, for a bounded time after the start."""
@@ -329,30 +275,20 @@
         finally:
             self.start_queue.leave()
 
-    async def _serve_gather(
-        self,
-        request: calls.ClientRequest,
-        route: routing.Route,
-        gather: routing.Gather,
-        arrived_at: datetime.timedelta,
-        reply_deadline: datetime.timedelta,
-        leaf_deadline: datetime.timedelta,
-        repeated: bool = False,
-    ) -> Reply:
-        answer_at = arrived_at + max(
-            route.target_latency - _ANSWER_MARGIN, route.target_latency / 2
-        )
+    async def _serve_undivided(self, query: _gathering.Query) -> Reply:
+        """Gathers all shards of a query with calls from this host."""
         plan = calls.GatherPlan(
-            self._state,
-            route,
-            gather,
-            calls.GatherTimes(answer_at, reply_deadline),
+            self._state, query.route, query.gather, query.times
         )
         exchange = _exchange.Exchange(
-            self._pool, self._clock, request, leaf_deadline, at_most_once=False
+            self._pool,
+            self._clock,
+            query.request,
+            query.leaf_deadline,
+            at_most_once=False,
         )
         try:
-            exchange.dispatch(plan.start(self._clock.monotonic(), repeated))
+            exchange.dispatch(plan.start(self._clock.monotonic()))
             while True:
                 now = self._clock.monotonic()
                 outcome = plan.outcome(now)
@@ -370,6 +306,17 @@
         if outcome.enough:
             for send in plan.release_open():
                 exchange.release((send,), plan.call(send.shard))
+        else:
+            exchange.cancel(plan.give_up(now))
+        return self._gather_reply(query, outcome, log_fields)
+
+    def _gather_reply(
+        self,
+        query: _gathering.Query,
+        outcome: calls.GatherOutcome,
+        log_fields: dict[str, Any],
+    ) -> Reply:
+        if outcome.enough:
             headers = self._protocol.gather_headers(
                 outcome.signatures, outcome.missing
             )
@@ -380,23 +327,31 @@
                 missing=outcome.missing_services,
                 log_fields=log_fields,
             )
-        exchange.cancel(plan.give_up(now))
         log_fields["missing"] = list(outcome.missing_services)
         if outcome.out_of_reach:
-            log_fields["zones_out_of_reach"] = sorted(
-                self._state.reach.unreachable_zones
-            )
-            reply = self._refusal(
-                503, Cause.OUT_OF_REACH, _REDIRECT_RETRY_DELAY
-            )
-        elif not outcome.sent:
+            return self._out_of_reach(outcome.missing_services, log_fields)
+        if not outcome.sent:
             reply = self._refusal(503, Cause.NO_LEAF, _BUSY_RETRY_DELAY)
-        elif now >= reply_deadline:
+        elif self._clock.monotonic() >= query.times.end:
             reply = local_reply(504, Cause.DEADLINE)
         else:
             reply = local_reply(502, Cause.TOO_FEW_PARTS)
         return dataclasses.replace(reply, log_fields=log_fields)
 
+    def _out_of_reach(
+        self, services: tuple[str, ...], log_fields: dict[str, Any]
+    ) -> Reply:
+        return dataclasses.replace(
+            self._refusal(503, Cause.OUT_OF_REACH, _REDIRECT_RETRY_DELAY),
+            log_fields={
+                **log_fields,
+                "missing": list(services),
+                "zones_out_of_reach": sorted(
+                    self._state.reach.unreachable_zones
+                ),
+            },
+        )
+
     async def _serve_single(
         self,
         request: calls.ClientRequest,
@@ -486,6 +441,17 @@
         return local_reply(status, cause, self._protocol.retry_after(delay))
 
 
+def _gather_times(
+    route: routing.Route,
+    arrived_at: datetime.timedelta,
+    reply_deadline: datetime.timedelta,
+) -> calls.GatherTimes:
+    answer_at = arrived_at + max(
+        route.target_latency - _ANSWER_MARGIN, route.target_latency / 2
+    )
+    return calls.GatherTimes(answer_at, reply_deadline)
+
+
 def _deadlines(
     request: calls.ClientRequest,
     route: routing.Route,
--- a/src/sassafrashold/routing/_configuration.py
+++ b/src/sassafrashold/routing/_configuration.py
@@ -4,6 +4,7 @@
 import dataclasses
 import datetime
 import functools
+import math
 
 # Tolerance for floating-point rounding when shard counts are compared.
 _ROUNDING_TOLERANCE = 1e-9
@@ -55,6 +56,13 @@
             shards >= self.min_coverage * len(self.shards) - _ROUNDING_TOLERANCE
         )
 
+    @property
+    def max_missing(self) -> int:
+        """Number of shards that an answer may leave out; one is always in."""
+        shards = len(self.shards)
+        required = math.ceil(self.min_coverage * shards - _ROUNDING_TOLERANCE)
+        return shards - max(required, 1)
+
 
 Target = SingleService | SplitTraffic | Gather
 
