--- a/src/sassafrashold/front/_leaf_pool.py
+++ b/src/sassafrashold/front/_leaf_pool.py
@@ -147,12 +147,13 @@
         """
         now = self._clock.monotonic()
         for ref, idle in list(self._idle_by_ref.items()):
-            kept = [
+            usable = [
                 (idle_since, connection)
                 for idle_since, connection in idle
                 if connection.is_idle
                 and now - idle_since < connection.max_idle_time
-            ][-max_idle(ref) :]
+            ]
+            kept = usable[max(len(usable) - max_idle(ref), 0) :]
             for item in idle:
                 if item not in kept:
                     item[1].close()
--- a/src/sassafrashold/front/tests/test_leaf_pool.py
+++ b/src/sassafrashold/front/tests/test_leaf_pool.py
@@ -325,3 +325,14 @@
         assert most <= limit
         assert sum("open answers exceed" in text for text in details) >= 2
         assert leaf.pool.answer_memory.total == 0
+
+
+@pytest.mark.parametrize(("limit", "connections"), [(0, 2), (1, 1)])
+async def test_idle_connections_over_the_limit_are_closed(limit, connections):
+    """A leaf that has left must not be called over a connection kept idle."""
+    async with _ScriptedLeaf() as leaf:
+        leaf.chunks_by_request = [[_ok_answer(b"a")], [_ok_answer(b"b")]]
+        await leaf.send_request("a")
+        leaf.pool.close_idle(lambda _: limit)
+        await leaf.send_request("b")
+        assert leaf.connections == connections
