Spare the store when the readers of a zone lose it

Cause: followers whose readers did not reach the store all read it themselves. A reader that the store turned away went through 195 hosts by name to find one that it serves, and did not pass on what it learned.

Change: followers whose sources are alive and without the store ask these again each 0.4 s; about one host a second in a zone tries the store. Starting hosts ask for 0.3 s first. A reader that follows a reader of the store relays to its zone; it never follows a host that relays. Likely readers are asked first.

--- a/src/sassafrashold/errors.py
+++ b/src/sassafrashold/errors.py
@@ -123,6 +123,10 @@
         )
 
 
+class SourceWithoutStoreError(StoreError):
+    """A host to follow is alive but does not know the store's state."""
+
+
 class TableError(SassafrasError):
     """A table, a cell or an edit is invalid."""
 
--- a/src/sassafrashold/front/_daemon.py
+++ b/src/sassafrashold/front/_daemon.py
@@ -143,9 +143,12 @@
             topics,
             _peers.PeerClient(self._view, self._peer_http),
             [seed for seed in values.seeds if seed != values.peer_address],
+            random_source,
         )
         self._peer_server = _peers.PeerServer(
-            self._view, lambda: self._sourcing.reads_store
+            self._view,
+            lambda: self._sourcing.reads_store,
+            lambda: self._sourcing.relays_store,
         )
         self._aggregator_choice = aggregation.AggregatorChoice(
             values.host, values.zone, random_source
@@ -306,13 +309,15 @@
     def _update_live_hosts(self, peers: tuple[relay.Peer, ...]) -> None:
         zone_hosts = [peer for peer in peers if peer.zone == self._values.zone]
         self._sourcing.set_sources(
-            relay.sources_for(self._values.host, zone_hosts)
+            relay.sources_for(self._values.host, zone_hosts), len(zone_hosts)
         )
         self._health.set_readers(
             relay.store_readers(zone_hosts), len(zone_hosts)
         )
         self._sourcing.set_other_hosts(
-            [peer for peer in peers if peer.host != self._values.host]
+            relay.likely_readers_first(
+                self._values.host, self._values.zone, peers
+            )
         )
         self._aggregator_choice.set_peers(peers)
         share = self._state.share
--- a/src/sassafrashold/front/_peer_http.py
+++ b/src/sassafrashold/front/_peer_http.py
@@ -18,6 +18,7 @@
 # Documents repeat their field names, so even the fastest level compresses them
 # to a tenth.
 _COMPRESSION_LEVEL = 1
+_WITHOUT_STORE_STATUS = 503
 _COMPRESSED_HEADERS = {"Content-Encoding": "deflate"}
 
 
@@ -121,6 +122,11 @@
                 status = response.status
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise unavailable_error(address, repr(error)) from error
+        if status == _WITHOUT_STORE_STATUS:
+            raise errors.SourceWithoutStoreError(
+                errors.ErrorCode.UNAVAILABLE,
+                f"host {address}: does not follow the store",
+            )
         if status != 200:
             raise unavailable_error(address, f"status {status}")
         return data
--- a/src/sassafrashold/front/_peers.py
+++ b/src/sassafrashold/front/_peers.py
@@ -16,6 +16,9 @@
 
 FOLLOW_PATH = "/v1/follow"
 COPY_PATH = "/v1/copy"
+# Query parameter of a host that is a source of others: it must not follow one
+# of these in turn.
+_DIRECT = "direct"
 # Short, because each answer also confirms that the other host still reads the
 # store.
 _LONG_POLL_TIMEOUT = datetime.timedelta(milliseconds=800)
@@ -25,7 +28,10 @@
     """Serves to other hosts what this host has read from the store."""
 
     def __init__(
-        self, view: _view.View, reads_store: Callable[[], bool]
+        self,
+        view: _view.View,
+        reads_store: Callable[[], bool],
+        relays_store: Callable[[], bool],
     ) -> None:
         """Initializes the server.
 
@@ -33,9 +39,11 @@
             view: Copies of the topics on this host.
             reads_store: Returns whether this host reads the store itself and
                 the store answers.
+            relays_store: Returns whether it does, or follows a host that does.
         """
         self._view = view
         self._reads_store = reads_store
+        self._relays_store = relays_store
         self._changed = asyncio.Event()
         # Caches encoded answers, as most hosts ask for changes since the same
         # revisions.
@@ -52,22 +60,27 @@
 
         A request for a copy is answered at once. A request to follow waits a
         bounded time for changes since the given revisions, and is answered
-        with status 503 when this host does not read the store.
+        with status 503 when this host does not follow the store, or does not
+        read it itself if the other host asks for that.
         """
         if request.path == COPY_PATH:
             if not self._view.is_complete:
                 return web.Response(status=503)
             return _peer_http.response(self.answer({}))
+        query = request.rel_url.query
+        is_source = (
+            self._reads_store if _DIRECT in query else self._relays_store
+        )
         known_revisions = {
-            name: int(text)
-            for name, text in request.rel_url.query.items()
-            if text.isdecimal()
+            name: int(query[name])
+            for name in self._view.mirror_by_topic
+            if query.get(name, "").isdecimal()
         }
         deadline = (
             asyncio.get_running_loop().time()
             + _LONG_POLL_TIMEOUT.total_seconds()
         )
-        while self._reads_store():
+        while is_source():
             changed = self._changed
             time_left = deadline - asyncio.get_running_loop().time()
             if self._has_changes(known_revisions) or time_left <= 0:
@@ -128,14 +141,22 @@
         self._view = view
         self._http = http
 
-    async def follow_once(self, address: settings.Address) -> None:
+    async def follow_once(
+        self, address: settings.Address, *, direct: bool = False
+    ) -> None:
         """Makes one long poll for changes and applies them.
 
+        Args:
+            address: Address of the other host.
+            direct: Whether the other host has to read the store itself.
+
         Raises:
-            StoreError: The other host did not answer, or does not read the
-                store at present.
+            SourceWithoutStoreError: The other host does not follow the store at
+                present.
+            StoreError: The other host did not answer.
         """
-        query = {
+        query = {_DIRECT: ""} if direct else {}
+        query |= {
             name: str(mirror.revision)
             for name, mirror in self._view.mirror_by_topic.items()
             if mirror.revision is not None
--- a/src/sassafrashold/front/_sourcing.py
+++ b/src/sassafrashold/front/_sourcing.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 import datetime
 import logging
+import random
 
 from sassafrashold import errors
 from sassafrashold import relay
@@ -16,6 +17,15 @@
 # When all hosts to follow have failed, this host reads the store for this long
 # before it tries them again.
 _STORE_FALLBACK_DURATION = datetime.timedelta(seconds=6)
+# Followers whose sources are alive and without the store ask again after this
+# time. The store is then likely to fail them as well, so the hosts of a zone
+# try it at this rate in all: it may turn away only some of them.
+_WITHOUT_STORE_PAUSE = datetime.timedelta(milliseconds=400)
+_STORE_TRIES_PER_SECOND = 1.0
+# A host without a copy asks its sources, which may be starting as well, this
+# many times before it reads the store.
+_STARTUP_PAUSE = datetime.timedelta(milliseconds=50)
+_MAX_STARTUP_POLLS = 6
 # While the store refuses or does not answer this host, it asks another host at
 # this interval until it finds one that the store serves.
 _PEER_FALLBACK_INTERVAL = datetime.timedelta(milliseconds=400)
@@ -36,6 +46,7 @@
         topics: _view.Topics,
         client: _peers.PeerClient,
         seeds: Sequence[settings.Address],
+        random_source: random.Random,
     ) -> None:
         """Initializes the task.
 
@@ -44,7 +55,11 @@
             topics: Topics to read from the store.
             client: Reads from other hosts.
             seeds: Hosts to copy from if the store is unavailable at the start.
+            random_source: Selects the followers that try the store.
         """
+        self._random = random_source
+        self._zone_hosts = 1
+        self._follows_reader = False
         self._seeds = tuple(seeds)
         self._source_decided = asyncio.Event()
         self._view = view
@@ -85,13 +100,24 @@
             and self._view.is_complete
         )
 
-    def set_sources(self, sources: Sequence[relay.Peer]) -> None:
+    @property
+    def relays_store(self) -> bool:
+        """Whether this host reads the store or follows a host that does."""
+        return self.reads_store or (
+            self._follows_reader and self._view.is_complete
+        )
+
+    def set_sources(
+        self, sources: Sequence[relay.Peer], zone_hosts: int
+    ) -> None:
         """Sets the hosts to follow, in order of preference.
 
         Args:
             sources: Hosts to follow; empty makes this host read the store.
+            zone_hosts: Number of hosts in the zone.
         """
         self._source_decided.set()
+        self._zone_hosts = max(zone_hosts, 1)
         if tuple(sources) != self._sources:
             self._sources = tuple(sources)
             self._sources_changed.set()
@@ -120,26 +146,58 @@
                 await self._read_store(None)
 
     async def _follow_hosts(self) -> None:
-        """Follows the sources in turn until all have failed in a row."""
-        failures = 0
+        """Follows the sources until this host should read the store itself.
+
+        That is when all have failed in a row. If some of them are alive and
+        without the store, it is for a few hosts of the zone only.
+        """
+        # The latest failures in a row.
+        failures: list[errors.StoreError] = []
         position = 0
         following = ""
-        while failures < len(self._sources):
+        startup_polls = 0
+        unfollowed: set[str] = set()
+        while self._sources:
             source = self._sources[position % len(self._sources)]
             try:
                 await self._client.follow_once(source.address)
             except errors.StoreError as error:
-                failures += 1
+                failures.append(error)
                 position += 1
-                _LOGGER.info(
-                    "host not followed",
-                    extra={"peer": source.host, "cause": error.message},
-                )
+                if source.host not in unfollowed:
+                    unfollowed.add(source.host)
+                    _LOGGER.info(
+                        "host not followed",
+                        extra={"peer": source.host, "cause": error.message},
+                    )
             else:
-                failures = 0
+                failures.clear()
+                unfollowed.clear()
                 if source.host != following:
                     following = source.host
                     _LOGGER.info("following host", extra={"peer": following})
+            if len(failures) < len(self._sources):
+                continue
+            if not any(
+                isinstance(error, errors.SourceWithoutStoreError)
+                for error in failures
+            ):
+                return
+            # One more failure, of the next source, leads here again.
+            del failures[: len(failures) - len(self._sources) + 1]
+            if self._view.is_complete:
+                if self._is_chosen_to_try_store():
+                    return
+                await asyncio.sleep(_WITHOUT_STORE_PAUSE.total_seconds())
+            else:
+                startup_polls += 1
+                if startup_polls > _MAX_STARTUP_POLLS:
+                    return
+                await asyncio.sleep(_STARTUP_PAUSE.total_seconds())
+
+    def _is_chosen_to_try_store(self) -> bool:
+        tries = _STORE_TRIES_PER_SECOND * _WITHOUT_STORE_PAUSE.total_seconds()
+        return self._random.random() * self._zone_hosts < tries
 
     async def _read_store(self, duration: datetime.timedelta | None) -> None:
         """Reads the store until the hosts to follow change.
@@ -171,6 +229,7 @@
                 task.result()
         finally:
             self._reading_store = False
+            self._follows_reader = False
             for task in (*tasks, waiter):
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
@@ -197,8 +256,9 @@
         followed = False
         while self.health.is_unavailable:
             try:
-                await self._client.follow_once(source.address)
+                await self._client.follow_once(source.address, direct=True)
             except errors.StoreError as error:
+                self._follows_reader = False
                 if followed:
                     _LOGGER.info(
                         "host no longer followed",
@@ -208,11 +268,13 @@
                 return followed
             if not followed:
                 followed = True
+                self._follows_reader = True
                 _LOGGER.info(
                     "following host while the store is unavailable to this one",
                     extra={"peer": source.host},
                 )
                 self._view.set_store_unavailable(False)
+        self._follows_reader = False
         return followed
 
     async def _copy_from_seeds(self) -> None:
--- a/src/sassafrashold/front/tests/test_peer_answer_size.py
+++ b/src/sassafrashold/front/tests/test_peer_answer_size.py
@@ -84,7 +84,7 @@
 
 def _server(view):
     unused: Any = view
-    return _peers.PeerServer(unused, lambda: True)
+    return _peers.PeerServer(unused, lambda: True, lambda: True)
 
 
 def _decoded(answer):
--- a/src/sassafrashold/relay/__init__.py
+++ b/src/sassafrashold/relay/__init__.py
@@ -9,6 +9,7 @@
 from sassafrashold.relay._mirror import Mirror
 from sassafrashold.relay._sources import MIN_HOSTS_TO_RELAY
 from sassafrashold.relay._sources import Peer
+from sassafrashold.relay._sources import likely_readers_first
 from sassafrashold.relay._sources import sources_for
 from sassafrashold.relay._sources import store_readers
 
@@ -18,6 +19,7 @@
     "Document",
     "Mirror",
     "Peer",
+    "likely_readers_first",
     "sources_for",
     "store_readers",
 ]
--- a/src/sassafrashold/relay/_sources.py
+++ b/src/sassafrashold/relay/_sources.py
@@ -52,6 +52,42 @@
     return sorted(peers, key=lambda peer: (-peer.link_mbps, peer.host))
 
 
+def likely_readers_first(
+    own_host: str, own_zone: str, peers: Iterable[Peer]
+) -> tuple[Peer, ...]:
+    """Returns all other hosts, those that read the store first.
+
+    Args:
+        own_host: Name of the host, which is left out.
+        own_zone: Its zone, whose readers come before those of other zones.
+        peers: Live hosts of all zones.
+    """
+    peers_by_zone: dict[str, list[Peer]] = {}
+    for peer in peers:
+        peers_by_zone.setdefault(peer.zone, []).append(peer)
+    readers = {
+        reader
+        for zone_peers in peers_by_zone.values()
+        for reader in store_readers(zone_peers) or zone_peers
+    }
+    others = (
+        peer
+        for zone_peers in peers_by_zone.values()
+        for peer in zone_peers
+        if peer.host != own_host
+    )
+    return tuple(
+        sorted(
+            others,
+            key=lambda peer: (
+                peer not in readers,
+                peer.zone != own_zone,
+                peer.host,
+            ),
+        )
+    )
+
+
 def sources_for(own_host: str, peers: Iterable[Peer]) -> tuple[Peer, ...]:
     """Returns the hosts that a host follows, in order of preference.
 
--- a/src/sassafrashold/relay/tests/test_copies_and_sources.py
+++ b/src/sassafrashold/relay/tests/test_copies_and_sources.py
@@ -163,3 +163,16 @@
 
 def test_unlisted_host_reads_the_store_itself():
     assert relay.sources_for("new", _peers(9)) == ()
+
+
+def test_host_that_the_store_turns_away_asks_the_likely_readers_first():
+    """Asking 195 hosts by name, one of which reads, took many seconds."""
+    peers = [
+        relay.Peer(f"{zone}-{i}", zone, settings.Address("10.0.0.1", 80))
+        for zone in ("z1", "z2")
+        for i in range(5)
+    ]
+    peers.append(relay.Peer("z3-0", "z3", settings.Address("10.0.0.1", 80)))
+    order = relay.likely_readers_first("z2-0", "z2", peers)
+    assert [peer.host for peer in order[:4]] == ["z2-1", "z1-0", "z1-1", "z3-0"]
+    assert {peer.host for peer in order} == {p.host for p in peers} - {"z2-0"}
