--- a/tests/platform/test_front_processes.py
+++ b/tests/platform/test_front_processes.py
@@ -327,4 +327,6 @@
 
 def _drained(log: str) -> set[str]:
     lines = [json.loads(line) for line in log.splitlines()]
-    return {line["leaf"] for line in lines if line.get("draining")}
+    return {
+        text.split()[0] for line in lines for text in line.get("draining", ())
+    }
