--- a/src/sassafrashold/logs/_reports.py
+++ b/src/sassafrashold/logs/_reports.py
@@ -103,7 +103,9 @@
         if leaf in leafs:
             line_by_event[line.message, leaf] = (line.time, _format(line))
         for change in _LEAF_CHANGES:
-            for text in line.fields.get(change, ()):
+            texts = line.fields.get(change)
+            # Another build may write a flag of this name.
+            for text in texts if isinstance(texts, list) else ():
                 leaf = str(text).split(" ", 1)[0]
                 if leaf in leafs:
                     line_by_event[line.message, leaf] = (
--- a/src/sassafrashold/logs/tests/test_request_reports.py
+++ b/src/sassafrashold/logs/tests/test_request_reports.py
@@ -20,6 +20,8 @@
         + _json_line("01", "configuration in force", configuration=7),
         _json_line("02", "leaf avoided", leaf="i-9", strikes=3),
         _json_line("02", "leafs changed", removed=["i-8", "i-9"]),
+        # A line of an earlier build.
+        _json_line("02", "leaf listed", leaf="i-7", draining=False),
         _json_line("03", "request ended", request="r1", outcome="served"),
         _json_line(
             "04",
