Reject numbers that do not fit into times, and deeply nested documents

Cause: cold_remaining_ms, a timeout, a heartbeat or an age of 2^63, or a store or host answer nested a thousand deep, raised OverflowError or RecursionError out of the decoder. The task that follows the store ended, and with it the process, on every host and after each restart: one entry of another writer took the system down.

Change: bounds on all numbers of the store and of hosts; the answers of the store and of hosts are errors if they nest too deep.

--- a/src/sassafrashold/front/_peers.py
+++ b/src/sassafrashold/front/_peers.py
@@ -179,7 +179,14 @@
             batch_by_topic = {
                 name: _decode(item) for name, item in json.loads(data).items()
             }
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+        except (
+            ValueError,
+            KeyError,
+            TypeError,
+            AttributeError,
+            OverflowError,
+            RecursionError,
+        ) as error:
             raise _peer_http.unavailable_error(
                 address, f"unreadable: {error!r}"
             ) from error
--- a/src/sassafrashold/leaf_health/_messages.py
+++ b/src/sassafrashold/leaf_health/_messages.py
@@ -14,6 +14,8 @@
 
 _REPORT = "leaf health report"
 _ZONE_HEALTH = "leaf health of the zone"
+# Larger numbers do not fit into times.
+_MAX_NUMBER = 10**14
 
 
 @dataclasses.dataclass(frozen=True)
@@ -137,7 +139,7 @@
 
 
 def _check_row(key: str, row: Any, length: int) -> list[Any]:
-    """Returns a row made of a leaf id and non-negative integers.
+    """Returns a row made of a leaf id and integers from 0 to `_MAX_NUMBER`.
 
     Raises:
         DocumentError: The row has another length or other types.
@@ -146,7 +148,9 @@
         not isinstance(row, list)
         or len(row) != length
         or not isinstance(row[0], str)
-        or not all(type(item) is int and item >= 0 for item in row[1:])
+        or not all(
+            type(item) is int and 0 <= item <= _MAX_NUMBER for item in row[1:]
+        )
     ):
         raise errors.DocumentError(
             errors.ErrorCode.BAD_DOCUMENT, f"{key}: row {row!r}"[:200]
--- a/src/sassafrashold/platform/documents.py
+++ b/src/sassafrashold/platform/documents.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Mapping
 import datetime
-import math
 from typing import Any
 
 from sassafrashold import directory
@@ -14,6 +13,9 @@
 
 _IDEMPOTENT = "idempotent"
 _ROUTE_TYPES = frozenset({_IDEMPOTENT, "non_idempotent"})
+# Limits on numbers: larger ones do not fit into times and counts.
+_MAX_NUMBER = 10**12
+_MAX_UNIX_MS = 10**14
 _LEAF_STATES = frozenset({"ready", "draining"})
 
 
@@ -80,8 +82,12 @@
     except ValueError as error:
         raise documents.invalid(key, f"address: {error}") from error
     born = spec.get("born", 0)
-    if isinstance(born, bool) or not isinstance(born, int) or born < 0:
-        raise documents.invalid(key, "born: expected an integer of at least 0")
+    if (
+        isinstance(born, bool)
+        or not isinstance(born, int)
+        or not 0 <= born <= _MAX_UNIX_MS
+    ):
+        raise documents.invalid(key, "born: expected Unix milliseconds")
     slots = documents.get(key, spec, "slots", int)
     if slots < 1:
         raise documents.invalid(key, "slots: expected 1 or more")
@@ -110,6 +116,9 @@
         address = settings.Address.parse(text)
     except ValueError as error:
         raise documents.invalid(name, f"address: {error}") from error
+    heartbeat = documents.get(name, document, "beat", int)
+    if not 0 <= heartbeat <= _MAX_UNIX_MS:
+        raise documents.invalid(name, "beat: expected Unix milliseconds")
     return front.RegisteredHost(
         relay.Peer(
             name,
@@ -117,7 +126,7 @@
             address,
             _number(name, document, "link_mbps", 0.0),
         ),
-        documents.get(name, document, "beat", int),
+        heartbeat,
     )
 
 
@@ -240,10 +249,11 @@
     if (
         isinstance(value, bool)
         or not isinstance(value, int | float)
-        or not math.isfinite(value)
-        or value < 0
+        or not 0 <= value <= _MAX_NUMBER
     ):
-        raise documents.invalid(key, f"{name}: expected a number of at least 0")
+        raise documents.invalid(
+            key, f"{name}: expected a number from 0 to {_MAX_NUMBER}"
+        )
     return value
 
 
--- a/src/sassafrashold/platform/store_client.py
+++ b/src/sassafrashold/platform/store_client.py
@@ -247,7 +247,7 @@
             return {}
         try:
             decoded = json.loads(data)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise _bad_document(str(error)) from error
         if not isinstance(decoded, dict):
             raise _bad_document("expected a JSON object")
