--- a/src/sassafrashold/front/_peers.py
+++ b/src/sassafrashold/front/_peers.py
@@ -206,9 +206,15 @@
 def _decode(item: dict[str, Any]) -> relay.Batch:
     return relay.Batch(
         tuple(
-            relay.Document(str(name), content, bool(deleted))
+            _decode_document(name, content, deleted)
             for name, content, deleted in item["documents"]
         ),
         int(item["revision"]),
         bool(item["whole"]),
     )
+
+
+def _decode_document(name: Any, content: Any, deleted: Any) -> relay.Document:
+    if not deleted and not isinstance(content, dict):
+        raise TypeError(f"document {name!r} without content")
+    return relay.Document(str(name), content, bool(deleted))
--- a/src/sassafrashold/platform/wire.py
+++ b/src/sassafrashold/platform/wire.py
@@ -19,6 +19,9 @@
 _PART_STAMPS = "Part-Stamps"
 _MISSING_PARTS = "Missing-Parts"
 _WRONG_LEAF_STATUS = 421
+# Idle connections are not kept for longer, whatever a leaf announces.
+_MAX_KEEP_ALIVE = datetime.timedelta(hours=1)
+_MAX_DIGITS = 9
 # Hop-by-hop headers, and headers that the system sets itself.
 _NOT_FORWARDED = frozenset(
     {
@@ -201,7 +204,10 @@
         for item in (_decode_text(value) or "").split(","):
             key, _, number = item.strip().partition("=")
             if key.lower() == "timeout" and number.isdecimal():
-                return datetime.timedelta(seconds=int(number))
+                return min(
+                    datetime.timedelta(seconds=int(number[:_MAX_DIGITS])),
+                    _MAX_KEEP_ALIVE,
+                )
     return None
 
 
