--- a/src/sassafrashold/entry/_sender.py
+++ b/src/sassafrashold/entry/_sender.py
@@ -16,6 +16,12 @@
 from sassafrashold import wire
 from sassafrashold.telemetry import tracing
 
+# Another try is made only if the time left is this multiple of the longest one
+# so far, and at least this long: once the deadline passes during a try, it is
+# unknown whether the dispatch has run.
+_REPEAT_TIME_FACTOR = 2
+_MIN_REPEAT_TIME = datetime.timedelta(milliseconds=50)
+
 
 @dataclasses.dataclass(frozen=True)
 class DispatchCall:
@@ -83,6 +89,7 @@
         """
         self._searcher.budget(row).earn(1)
         sent = 0
+        longest_try = datetime.timedelta()
         excluded: set[str] = set()
         tried: set[str] = set()
         while True:
@@ -91,12 +98,16 @@
             sent += 1
             entry: dict[str, Any] = {"leaf": replica.leaf_id, "outcome": "OK"}
             log.append(entry)
+            started = self._clock.monotonic()
             try:
                 return await self._call(call, replica, claim_id, traceparent)
             except errors.SassafrasError as error:
                 entry["outcome"] = error.code.value
+                longest_try = max(
+                    longest_try, self._clock.monotonic() - started
+                )
                 await self._before_repeat(
-                    call, row, error, replica, sent, excluded
+                    call, row, error, replica, sent, excluded, longest_try
                 )
 
     def _choose(
@@ -161,10 +172,14 @@
         replica: search.Replica,
         sent: int,
         excluded: set[str],
+        longest_try: datetime.timedelta,
     ) -> None:
         """Waits before another try, or raises the error again."""
         if error.ran is not errors.Ran.NOT_RUN:
             raise error
+        repeat_time = max(longest_try * _REPEAT_TIME_FACTOR, _MIN_REPEAT_TIME)
+        if self._clock.now() + repeat_time >= call.deadline:
+            raise error
         action = search.retry_action_for(error)
         now = self._clock.monotonic()
         match action:
@@ -180,7 +195,7 @@
             case search.RetryAction.RETRY_FREE:
                 self._searcher.tracker.leaf_moving(replica.leaf_id, now)
         delay = search.retry_delay(sent - 1, self._random)
-        if self._clock.now() + delay >= call.deadline:
+        if self._clock.now() + delay + repeat_time >= call.deadline:
             raise error
         await asyncio.sleep(delay.total_seconds())
 
