Stop repeating a refused dispatch 100 ms before its deadline

Cause: a multiple of the longest try kept callers from being tried again for much of their time when tries are long.

--- a/src/sassafrashold/entry/_sender.py
+++ b/src/sassafrashold/entry/_sender.py
@@ -16,11 +16,10 @@
 from sassafrashold import wire
 from sassafrashold.telemetry import tracing
 
-# Another try is made only if the time left is this multiple of the longest one
-# so far, and at least this long: once the deadline passes during a try, it is
-# unknown whether the dispatch has run.
-_REPEAT_TIME_FACTOR = 2
-_MIN_REPEAT_TIME = datetime.timedelta(milliseconds=50)
+# No further try is made in the last part of the time: once the deadline passes
+# during a try, it is unknown whether the dispatch has run. Tries take a few
+# milliseconds, and some tens on a busy host.
+_REPEAT_RESERVE = datetime.timedelta(milliseconds=100)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -89,7 +88,6 @@
         """
         self._searcher.budget(row).earn(1)
         sent = 0
-        longest_try = datetime.timedelta()
         excluded: set[str] = set()
         tried: set[str] = set()
         while True:
@@ -98,16 +96,12 @@
             sent += 1
             entry: dict[str, Any] = {"leaf": replica.leaf_id, "outcome": "OK"}
             log.append(entry)
-            started = self._clock.monotonic()
             try:
                 return await self._call(call, replica, claim_id, traceparent)
             except errors.SassafrasError as error:
                 entry["outcome"] = error.code.value
-                longest_try = max(
-                    longest_try, self._clock.monotonic() - started
-                )
                 await self._before_repeat(
-                    call, row, error, replica, sent, excluded, longest_try
+                    call, row, error, replica, sent, excluded
                 )
 
     def _choose(
@@ -172,13 +166,12 @@
         replica: search.Replica,
         sent: int,
         excluded: set[str],
-        longest_try: datetime.timedelta,
     ) -> None:
         """Waits before another try, or raises the error again."""
         if error.ran is not errors.Ran.NOT_RUN:
             raise error
-        repeat_time = max(longest_try * _REPEAT_TIME_FACTOR, _MIN_REPEAT_TIME)
-        if self._clock.now() + repeat_time >= call.deadline:
+        last_repeat = call.deadline - _REPEAT_RESERVE
+        if self._clock.now() >= last_repeat:
             raise error
         action = search.retry_action_for(error)
         now = self._clock.monotonic()
@@ -195,7 +188,7 @@
             case search.RetryAction.RETRY_FREE:
                 self._searcher.tracker.leaf_moving(replica.leaf_id, now)
         delay = search.retry_delay(sent - 1, self._random)
-        if self._clock.now() + delay + repeat_time >= call.deadline:
+        if self._clock.now() + delay >= last_repeat:
             raise error
         await asyncio.sleep(delay.total_seconds())
 
