Drive gather plans in one loop; name decoding errors once

The loop that drives a plan stood in RequestServer and in LocalGather; both kinds of gathering are methods of LocalGather now. The exceptions of malformed documents stood in aggregation and in the peer client; documents.DECODING_ERRORS serves both. verdict is decide_success. Behaviour unchanged.

--- a/src/sassafrashold/aggregation/_messages.py
+++ b/src/sassafrashold/aggregation/_messages.py
@@ -8,19 +8,11 @@
 
 from sassafrashold import calls
 from sassafrashold import clock as clock_lib
-from sassafrashold import errors
+from sassafrashold import documents
 
 # Header names and values, and bodies of callers, are arbitrary bytes.
 _BYTES_ENCODING = "latin-1"
 _MAX_RECORD_BYTES = 2**20
-_DECODING_ERRORS = (
-    ValueError,
-    KeyError,
-    TypeError,
-    AttributeError,
-    OverflowError,
-    RecursionError,
-)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -124,8 +116,8 @@
             tuple(_index(shard) for shard in document["shards"]),
             int(document["max_missing"]),
         )
-    except _DECODING_ERRORS as error:
-        raise _invalid("aggregation request", error) from error
+    except documents.DECODING_ERRORS as error:
+        raise documents.invalid("aggregation request", repr(error)) from error
 
 
 def encode_parts(parts: MergedParts) -> bytes:
@@ -172,8 +164,8 @@
             ),
             record_bytes,
         )
-    except _DECODING_ERRORS as error:
-        raise _invalid("merged parts", error) from error
+    except documents.DECODING_ERRORS as error:
+        raise documents.invalid("merged parts", repr(error)) from error
 
 
 def _index(value: Any) -> int:
@@ -194,12 +186,6 @@
     return value
 
 
-def _invalid(kind: str, error: Exception) -> errors.DocumentError:
-    return errors.DocumentError(
-        errors.ErrorCode.BAD_DOCUMENT, f"{kind}: {error!r}"
-    )
-
-
 def _optional_ms(duration: datetime.timedelta | None) -> float | None:
     return None if duration is None else clock_lib.to_ms(duration)
 
--- a/src/sassafrashold/calls/_gather.py
+++ b/src/sassafrashold/calls/_gather.py
@@ -49,7 +49,7 @@
     """Whether nothing was sent because too few shards are reachable."""
 
 
-def verdict(
+def decide_success(
     gather: routing.Gather,
     times: GatherTimes,
     answered: int,
@@ -245,7 +245,7 @@
         if self._out_of_reach:
             return self._result(False)
         answered = len(self._part_by_shard)
-        enough = verdict(
+        enough = decide_success(
             self._gather,
             self._times,
             answered,
--- a/src/sassafrashold/calls/_part_merger.py
+++ b/src/sassafrashold/calls/_part_merger.py
@@ -83,7 +83,7 @@
 
     def outcome(self, now: datetime.timedelta) -> _gather.GatherOutcome | None:
         """Returns the result of the request; None while it is in progress."""
-        enough = _gather.verdict(
+        enough = _gather.decide_success(
             self._gather,
             self._times,
             len(self._signature_by_shard),
--- a/src/sassafrashold/documents.py
+++ b/src/sassafrashold/documents.py
@@ -7,6 +7,15 @@
 from sassafrashold import errors
 
 _ValueT = TypeVar("_ValueT")
+DECODING_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+"""What reading the fields of a malformed JSON document may raise."""
 
 
 def parse(key: str, data: bytes) -> dict[str, Any]:
--- a/src/sassafrashold/front/_gathering.py
+++ b/src/sassafrashold/front/_gathering.py
@@ -173,16 +173,8 @@
         Returns:
             Fields of a log line that explain the result.
         """
-        plan = calls.GatherPlan(
-            self._state, query.route, query.gather, query.times, shards
-        )
-        exchange = _exchange.Exchange(
-            self._pool,
-            self._clock,
-            query.request,
-            query.leaf_deadline,
-            at_most_once=False,
-        )
+        plan = self._new_plan(query, shards)
+        exchange = self._new_exchange(query)
         reported: set[int] = set()
         is_first = True
         try:
@@ -204,11 +196,7 @@
                     )
                 if final:
                     break
-                for send, result in await exchange.wait(plan.next_time(now)):
-                    exchange.dispatch(
-                        plan.ended(send, result, self._clock.monotonic())
-                    )
-                exchange.dispatch(plan.tick(self._clock.monotonic()))
+                await self._advance(plan, exchange, now)
         except BaseException:
             self._end_open_calls(
                 plan,
@@ -228,6 +216,61 @@
         self._end_open_calls(plan, exchange, cancel=plan.missing > max_missing)
         return log_fields
 
+    async def gather_whole(
+        self, query: Query
+    ) -> tuple[calls.GatherOutcome, dict[str, Any]]:
+        """Gathers all shards of a query.
+
+        Args:
+            query: The query.
+
+        Returns:
+            The result, and fields of a log line that explain it.
+        """
+        plan = self._new_plan(query)
+        exchange = self._new_exchange(query)
+        try:
+            exchange.dispatch(plan.start(self._clock.monotonic()))
+            while True:
+                now = self._clock.monotonic()
+                outcome = plan.outcome(now)
+                if outcome is not None:
+                    break
+                await self._advance(plan, exchange, now)
+        except BaseException:
+            self._end_open_calls(plan, exchange, cancel=True)
+            raise
+        log_fields = {"trail": exchange.trail()}
+        self._end_open_calls(plan, exchange, cancel=not outcome.enough)
+        return outcome, log_fields
+
+    def _new_plan(
+        self, query: Query, shards: Sequence[int] | None = None
+    ) -> calls.GatherPlan:
+        return calls.GatherPlan(
+            self._state, query.route, query.gather, query.times, shards
+        )
+
+    def _new_exchange(self, query: Query) -> _exchange.Exchange:
+        return _exchange.Exchange(
+            self._pool,
+            self._clock,
+            query.request,
+            query.leaf_deadline,
+            at_most_once=False,
+        )
+
+    async def _advance(
+        self,
+        plan: calls.GatherPlan,
+        exchange: _exchange.Exchange,
+        now: datetime.timedelta,
+    ) -> None:
+        """Waits for results or the next hedge and sends what follows."""
+        for send, result in await exchange.wait(plan.next_time(now)):
+            exchange.dispatch(plan.ended(send, result, self._clock.monotonic()))
+        exchange.dispatch(plan.tick(self._clock.monotonic()))
+
     def _end_open_calls(
         self,
         plan: calls.GatherPlan,
--- a/src/sassafrashold/front/_peers.py
+++ b/src/sassafrashold/front/_peers.py
@@ -9,6 +9,7 @@
 
 from aiohttp import web
 
+from sassafrashold import documents
 from sassafrashold import relay
 from sassafrashold import settings
 from sassafrashold.front import _peer_http
@@ -179,14 +180,7 @@
             batch_by_topic = {
                 name: _decode(item) for name, item in json.loads(data).items()
             }
-        except (
-            ValueError,
-            KeyError,
-            TypeError,
-            AttributeError,
-            OverflowError,
-            RecursionError,
-        ) as error:
+        except documents.DECODING_ERRORS as error:
             raise _peer_http.unavailable_error(
                 address, f"unreadable: {error!r}"
             ) from error
--- a/src/sassafrashold/front/_requests.py
+++ b/src/sassafrashold/front/_requests.py
@@ -277,37 +277,7 @@
 
     async def _serve_undivided(self, query: _gathering.Query) -> Reply:
         """Gathers all shards of a query with calls from this host."""
-        plan = calls.GatherPlan(
-            self._state, query.route, query.gather, query.times
-        )
-        exchange = _exchange.Exchange(
-            self._pool,
-            self._clock,
-            query.request,
-            query.leaf_deadline,
-            at_most_once=False,
-        )
-        try:
-            exchange.dispatch(plan.start(self._clock.monotonic()))
-            while True:
-                now = self._clock.monotonic()
-                outcome = plan.outcome(now)
-                if outcome is not None:
-                    break
-                for send, result in await exchange.wait(plan.next_time(now)):
-                    exchange.dispatch(
-                        plan.ended(send, result, self._clock.monotonic())
-                    )
-                exchange.dispatch(plan.tick(self._clock.monotonic()))
-        except BaseException:
-            exchange.cancel(plan.give_up(self._clock.monotonic()))
-            raise
-        log_fields = {"trail": exchange.trail()}
-        if outcome.enough:
-            for send in plan.release_open():
-                exchange.release((send,), plan.call(send.shard))
-        else:
-            exchange.cancel(plan.give_up(now))
+        outcome, log_fields = await self.local_gather.gather_whole(query)
         return self._gather_reply(query, outcome, log_fields)
 
     def _gather_reply(
--- a/src/sassafrashold/platform/tests/test_malformed_input.py
+++ b/src/sassafrashold/platform/tests/test_malformed_input.py
@@ -303,7 +303,7 @@
 
 
 class _Transport:
-    """Records nothing; closes when told to."""
+    """A transport that discards what is written."""
 
     def __init__(self):
         self._closing = False
