Use a connection that was made while this process stood still

The 250 ms of an attempt to connect also covered the turns of the event loop after the leaf had accepted, and a timer that runs out during a stall wins over the event that came first. Ruled out: the leaf (it accepts at once on loopback); the cut answer (nothing had been sent). A host that stands still for 250 ms took all leafs it was connecting to for unreachable. Change: the limit covers only the TCP connect, and a socket that turns out to be connected is used.

--- a/src/sassafrashold/front/_leaf_pool.py
+++ b/src/sassafrashold/front/_leaf_pool.py
@@ -215,16 +215,22 @@
         sock = sockets.stream_socket()
         self.connections_opened += 1
         try:
-            async with asyncio.timeout(_CONNECT_TIMEOUT.total_seconds()):
-                await loop.sock_connect(
-                    sock, (leaf.address.ip, leaf.address.port)
-                )
-                _, connection = await loop.create_connection(
-                    lambda: _leaf_connection.LeafConnection(
-                        loop, self._protocol, self.answer_memory
-                    ),
-                    sock=sock,
-                )
+            try:
+                async with asyncio.timeout(_CONNECT_TIMEOUT.total_seconds()):
+                    await loop.sock_connect(
+                        sock, (leaf.address.ip, leaf.address.port)
+                    )
+            except TimeoutError:
+                # If this process stood still, the time ran out although the
+                # leaf accepted at once.
+                if not sockets.is_connected(sock):
+                    raise
+            _, connection = await loop.create_connection(
+                lambda: _leaf_connection.LeafConnection(
+                    loop, self._protocol, self.answer_memory
+                ),
+                sock=sock,
+            )
         except BaseException:
             sock.close()
             raise
--- a/src/sassafrashold/front/tests/test_leaf_pool.py
+++ b/src/sassafrashold/front/tests/test_leaf_pool.py
@@ -8,6 +8,7 @@
 import datetime
 import socket
 import struct
+import time
 
 import pytest
 
@@ -225,6 +226,46 @@
         assert not result.may_have_run
 
 
+@pytest.mark.parametrize("turns", range(4))
+async def test_connection_made_while_this_process_stands_still_is_used(turns):
+    """Guards against a stall of the host that counts as the leaf's failure."""
+    async with _ScriptedLeaf() as leaf:
+        leaf.chunks_by_request = [[_ok_answer(b"a")]]
+        sending = asyncio.create_task(leaf.send_request("a", timeout_s=10))
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        time.sleep(0.3)  # Longer than an attempt to connect may last.
+        result = await sending
+        assert isinstance(result, calls.Answered)
+
+
+async def test_connection_reported_after_its_time_limit_is_used(monkeypatch):
+    loop = asyncio.get_running_loop()
+    connect = loop.sock_connect
+
+    async def connect_and_report_late(sock, address):
+        await connect(sock, address)
+        await asyncio.sleep(10)
+
+    monkeypatch.setattr(loop, "sock_connect", connect_and_report_late)
+    async with _ScriptedLeaf() as leaf:
+        leaf.chunks_by_request = [[_ok_answer(b"a")]]
+        result = await leaf.send_request("a", timeout_s=5)
+        assert isinstance(result, calls.Answered)
+
+
+async def test_attempt_without_an_answer_ends_as_not_sent(monkeypatch):
+    loop = asyncio.get_running_loop()
+
+    async def connect_never(sock, address):
+        await asyncio.sleep(10)
+
+    monkeypatch.setattr(loop, "sock_connect", connect_never)
+    async with _ScriptedLeaf() as leaf:
+        result = await leaf.send_request("a", timeout_s=5)
+        assert result.kind is calls.FailureKind.NOT_SENT
+
+
 async def test_failure_kind_follows_status_and_not_executed_header():
     async with _ScriptedLeaf() as leaf:
         leaf.chunks_by_request = [
--- a/src/sassafrashold/sockets.py
+++ b/src/sassafrashold/sockets.py
@@ -66,3 +66,12 @@
 def stream_socket() -> socket.socket:
     """Returns a new IPv4 stream socket, prepared as by `set_stream_options`."""
     return set_stream_options(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+
+
+def is_connected(sock: socket.socket) -> bool:
+    """Returns whether a TCP socket is connected."""
+    try:
+        sock.getpeername()
+    except OSError:
+        return False
+    return True
