--- a/src/sassafrashold/front/tests/test_leaf_pool.py
+++ b/src/sassafrashold/front/tests/test_leaf_pool.py
@@ -234,7 +234,8 @@
         sending = asyncio.create_task(leaf.send_request("a", timeout_s=10))
         for _ in range(turns):
             await asyncio.sleep(0)
-        time.sleep(0.3)  # Longer than an attempt to connect may last.
+        # Longer than an attempt to connect may last.
+        time.sleep(0.3)  # noqa: ASYNC251 - the process must stand still
         result = await sending
         assert isinstance(result, calls.Answered)
 
