Leave no call in doubt when an owner stops as planned

Ruled out: repeats of a refused dispatch (each is refused as not run). Change: the server announces that it leaves and answers until callers have closed, a second at most; a client keeps its state by connection and sends nothing on one that is retired.

--- a/src/sassafrashold/owner/_daemon.py
+++ b/src/sassafrashold/owner/_daemon.py
@@ -29,6 +29,8 @@
 _GAUGE_INTERVAL = datetime.timedelta(seconds=2)
 _DRAIN_CHECK_S = 0.02
 _FINISH_TIME = datetime.timedelta(seconds=3)
+# Callers close their connections within a round trip of the announcement.
+_FAREWELL_TIME = datetime.timedelta(seconds=1)
 _QUIET_TIME = datetime.timedelta(milliseconds=500)
 
 
@@ -231,6 +233,7 @@
         await self._wait(self._quiet, end)
         self._service.refusing = True
         await self._wait(self._finished, self._clock.monotonic() + _FINISH_TIME)
+        await self._server.drain(_FAREWELL_TIME)
 
     async def _wait(
         self, condition: Callable[[], bool], end: datetime.timedelta
--- a/src/sassafrashold/rpc/_client.py
+++ b/src/sassafrashold/rpc/_client.py
@@ -37,12 +37,106 @@
 _Event = _Item | _Result | _Failure
 
 
+class _Connection:
+    """One connection to the peer, with the calls that wait on it."""
+
+    def __init__(
+        self,
+        address: settings.Address,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        metrics: telemetry.Metrics,
+    ) -> None:
+        self._address = address
+        self._reader = reader
+        self._writer = writer
+        self._metrics = metrics
+        self._queue_by_id: dict[int, asyncio.Queue[_Event]] = {}
+        # The peer leaves: it answers what was sent, and gets nothing new.
+        self._is_retired = False
+
+    @property
+    def takes_calls(self) -> bool:
+        """Whether new calls may be sent."""
+        return not self._is_retired and not self._writer.is_closing()
+
+    def send(self, correlation_id: int, frame: bytes) -> asyncio.Queue[_Event]:
+        """Sends a request; returns the queue of its events."""
+        queue: asyncio.Queue[_Event] = asyncio.Queue()
+        self._queue_by_id[correlation_id] = queue
+        self._writer.write(frame)
+        return queue
+
+    def end_call(self, correlation_id: int, *, cancel: bool) -> None:
+        """Forgets a call; cancels it at the peer if it may still run."""
+        self._queue_by_id.pop(correlation_id, None)
+        if cancel and not self._writer.is_closing():
+            self._writer.write(_cancel_frame(correlation_id))
+        self._close_if_done()
+
+    async def read_frames(self) -> None:
+        """Delivers frames to their calls until the connection ends."""
+        reason = "connection closed by the peer"
+        try:
+            while True:
+                self._deliver(await _frames.read(self._reader))
+        except errors.RpcError as error:
+            self._metrics.count("rpc.bad_frames")
+            reason = f"invalid frame from the peer: {error.message}"
+        except (asyncio.IncompleteReadError, OSError) as error:
+            reason = f"connection lost: {error}"
+        finally:
+            self.close(reason)
+
+    def close(self, reason: str) -> None:
+        """Closes the connection and fails all calls that wait on it."""
+        self._writer.close()
+        queues = list(self._queue_by_id.values())
+        self._queue_by_id.clear()
+        for queue in queues:
+            queue.put_nowait(
+                _Failure(
+                    errors.RpcError(
+                        errors.ErrorCode.CONNECTION_LOST,
+                        f"{self._address}: {reason}",
+                        ran=errors.Ran.OUTCOME_UNKNOWN,
+                    )
+                )
+            )
+
+    def _deliver(self, frame: Any) -> None:
+        if _frames.is_leaving_notice(frame):
+            self._is_retired = True
+            self._close_if_done()
+            return
+        queue = self._queue_by_id.get(frame.correlation_id)
+        if queue is None:
+            self._metrics.count("rpc.late_frames")
+            return
+        kind = wire.messages.FrameKind
+        if frame.kind == kind.ITEM:
+            queue.put_nowait(_Item(frame.body or b""))
+        elif frame.kind == kind.RESPONSE:
+            queue.put_nowait(_Result(frame.body or b""))
+        elif frame.kind == kind.ERROR and frame.error is not None:
+            queue.put_nowait(_Failure(wire.error_from_wire(frame.error)))
+        else:
+            raise errors.RpcError(
+                errors.ErrorCode.BAD_FRAME, "unexpected frame kind"
+            )
+
+    def _close_if_done(self) -> None:
+        if self._is_retired and not self._queue_by_id:
+            self._writer.close()
+
+
 class Client:
     """Calls methods of one peer over one connection.
 
     Every call has its own correlation id. A frame whose id no pending call has
     (a late response) is dropped and counted, so it never reaches another
-    call.
+    call. A connection on which the peer announced that it leaves gets no more
+    calls; those that wait on it are answered first.
     """
 
     def __init__(
@@ -55,9 +149,8 @@
         self._clock = clock
         self._metrics = metrics or telemetry.NullMetrics()
         self._ids = itertools.count(1)
-        self._queue_by_id: dict[int, asyncio.Queue[_Event]] = {}
-        self._writer: asyncio.StreamWriter | None = None
-        self._reader_task: asyncio.Task[None] | None = None
+        self._connection: _Connection | None = None
+        self._task_by_connection: dict[_Connection, asyncio.Task[None]] = {}
         self._connect_lock = asyncio.Lock()
 
     @property
@@ -108,7 +201,7 @@
         Raises:
             RpcError: As in `call`.
         """
-        writer = await self._ensure_connected(deadline)
+        connection = await self._ensure_connected(deadline)
         correlation_id = next(self._ids)
         data = _frames.pack(
             wire.messages.Frame(
@@ -120,8 +213,7 @@
                 deadline_unix_ms=clock_lib.to_unix_ms(deadline),
             )
         )
-        queue: asyncio.Queue[_Event] = asyncio.Queue()
-        self._queue_by_id[correlation_id] = queue
+        queue = connection.send(correlation_id, data)
         finished = False
         # One timer for the whole call is cheaper than one for each item.
         remaining = (deadline - self._clock.now()).total_seconds()
@@ -129,7 +221,6 @@
             max(0.0, remaining), queue.put_nowait, self._timeout_failure(method)
         )
         try:
-            writer.write(data)
             while not finished:
                 event = await queue.get()
                 match event:
@@ -145,15 +236,13 @@
                         raise event.error
         finally:
             timer.cancel()
-            self._queue_by_id.pop(correlation_id, None)
-            if not finished and writer is self._writer:
-                writer.write(_cancel_frame(correlation_id))
+            connection.end_call(correlation_id, cancel=not finished)
 
     async def close(self) -> None:
-        """Closes the connection; pending calls fail."""
-        if self._reader_task is not None:
-            self._reader_task.cancel()
-        self._drop_connection("client closed")
+        """Closes the connections; pending calls fail."""
+        for connection, task in list(self._task_by_connection.items()):
+            task.cancel()
+            connection.close("client closed")
 
     def _timeout_failure(self, method: str) -> _Failure:
         return _Failure(
@@ -167,7 +256,7 @@
 
     async def _ensure_connected(
         self, deadline: datetime.datetime
-    ) -> asyncio.StreamWriter:
+    ) -> _Connection:
         """Returns an open connection.
 
         Raises:
@@ -179,8 +268,9 @@
                 errors.ErrorCode.DEADLINE_EXCEEDED,
                 f"no time left to call {self._address}",
             )
-        if self._writer is not None and not self._writer.is_closing():
-            return self._writer
+        connection = self._connection
+        if connection is not None and connection.takes_calls:
+            return connection
         try:
             async with asyncio.timeout(
                 min(remaining, _CONNECT_TIMEOUT.total_seconds())
@@ -193,71 +283,22 @@
                 f"cannot connect to {self._address}: {error}",
             ) from error
 
-    async def _connect(self) -> asyncio.StreamWriter:
-        if self._writer is not None and not self._writer.is_closing():
-            return self._writer
+    async def _connect(self) -> _Connection:
+        connection = self._connection
+        if connection is not None and connection.takes_calls:
+            return connection
         reader, writer = await asyncio.open_connection(
             self._address.ip, self._address.port
         )
         _frames.detect_dead_peer(writer)
-        self._writer = writer
-        self._reader_task = asyncio.create_task(
-            self._read_frames(reader, writer)
+        connection = _Connection(self._address, reader, writer, self._metrics)
+        task = asyncio.create_task(connection.read_frames())
+        self._task_by_connection[connection] = task
+        task.add_done_callback(
+            lambda _: self._task_by_connection.pop(connection, None)
         )
-        return writer
-
-    async def _read_frames(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        """Delivers frames to their calls until the connection ends."""
-        reason = "connection closed by the peer"
-        try:
-            while True:
-                self._deliver(await _frames.read(reader))
-        except errors.RpcError as error:
-            self._metrics.count("rpc.bad_frames")
-            reason = f"invalid frame from the peer: {error.message}"
-        except (asyncio.IncompleteReadError, OSError) as error:
-            reason = f"connection lost: {error}"
-        finally:
-            writer.close()
-            if writer is self._writer:
-                self._drop_connection(reason)
-
-    def _deliver(self, frame: Any) -> None:
-        queue = self._queue_by_id.get(frame.correlation_id)
-        if queue is None:
-            self._metrics.count("rpc.late_frames")
-            return
-        kind = wire.messages.FrameKind
-        if frame.kind == kind.ITEM:
-            queue.put_nowait(_Item(frame.body or b""))
-        elif frame.kind == kind.RESPONSE:
-            queue.put_nowait(_Result(frame.body or b""))
-        elif frame.kind == kind.ERROR and frame.error is not None:
-            queue.put_nowait(_Failure(wire.error_from_wire(frame.error)))
-        else:
-            raise errors.RpcError(
-                errors.ErrorCode.BAD_FRAME, "unexpected frame kind"
-            )
-
-    def _drop_connection(self, reason: str) -> None:
-        """Closes the connection and fails all calls that wait on it."""
-        if self._writer is not None:
-            self._writer.close()
-        self._writer = None
-        queues = list(self._queue_by_id.values())
-        self._queue_by_id.clear()
-        for queue in queues:
-            queue.put_nowait(
-                _Failure(
-                    errors.RpcError(
-                        errors.ErrorCode.CONNECTION_LOST,
-                        f"{self._address}: {reason}",
-                        ran=errors.Ran.OUTCOME_UNKNOWN,
-                    )
-                )
-            )
+        self._connection = connection
+        return connection
 
 
 class Pool:
--- a/src/sassafrashold/rpc/_frames.py
+++ b/src/sassafrashold/rpc/_frames.py
@@ -9,6 +9,8 @@
 from sassafrashold import wire
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
+# Not the id of a call: the frame concerns the connection.
+_CONNECTION_ID = 0
 _LENGTH_PREFIX = struct.Struct(">I")
 
 # A peer that disappears without a reset is detected within about 5 s.
@@ -55,6 +57,35 @@
         raise errors.RpcError(errors.ErrorCode.BAD_FRAME, str(error)) from error
 
 
+def leaving_notice() -> bytes:
+    """Returns the packed frame that announces that this process leaves.
+
+    A client that gets it sends no more calls on the connection and closes it
+    once its pending calls have ended.
+    """
+    return pack(
+        wire.messages.Frame(
+            correlation_id=_CONNECTION_ID,
+            kind=wire.messages.FrameKind.ERROR,
+            error=wire.error_to_wire(
+                errors.RpcError(
+                    errors.ErrorCode.LEAVING, "this process is leaving"
+                )
+            ),
+        )
+    )
+
+
+def is_leaving_notice(frame: Any) -> bool:
+    """Returns whether a frame announces that the peer leaves."""
+    return (
+        frame.correlation_id == _CONNECTION_ID
+        and frame.kind == wire.messages.FrameKind.ERROR
+        and frame.error is not None
+        and wire.error_from_wire(frame.error).code is errors.ErrorCode.LEAVING
+    )
+
+
 def detect_dead_peer(writer: asyncio.StreamWriter) -> None:
     """Makes the kernel end the connection when the peer stops answering."""
     sock = writer.get_extra_info("socket")
--- a/src/sassafrashold/rpc/_server.py
+++ b/src/sassafrashold/rpc/_server.py
@@ -82,6 +82,27 @@
         """Returns the number of requests whose handlers still run."""
         return sum(len(c.task_by_id) for c in self._connections)
 
+    async def drain(self, timeout: datetime.timedelta) -> None:
+        """Stops accepting and answers callers until they have left.
+
+        Each caller is told that this process leaves. A request that is on its
+        way then still gets an answer: closing at once would leave its caller
+        in doubt whether it ran. Handlers have to refuse new work by now.
+
+        Args:
+            timeout: How long to wait for the callers.
+        """
+        if self._server is not None:
+            # Accepts the connections that wait in the backlog.
+            await asyncio.sleep(0)
+            self._server.close()
+        for connection in list(self._connections):
+            connection.announce_leaving()
+        if self._connection_tasks:
+            await asyncio.wait(
+                self._connection_tasks, timeout=timeout.total_seconds()
+            )
+
     async def close(self) -> None:
         """Stops accepting, cancels running handlers and closes connections."""
         if self._server is not None:
@@ -131,6 +152,11 @@
         _frames.detect_dead_peer(writer)
         self.task_by_id: dict[int, asyncio.Task[None]] = {}
 
+    def announce_leaving(self) -> None:
+        """Asks the caller to send no more and to close the connection."""
+        if not self._writer.is_closing():
+            self._writer.write(_frames.leaving_notice())
+
     def close(self) -> None:
         """Cancels all requests and closes the socket."""
         for task in list(self.task_by_id.values()):
