--- a/src/sassafrashold/front/_server.py
+++ b/src/sassafrashold/front/_server.py
@@ -141,8 +141,8 @@
         try:
             request = self._protocol.client_request(
                 message.method,
-                message.message.path,
-                message.message.raw_headers,
+                message.raw_path,
+                message.raw_headers,
                 b"",
             )
             if message.body_exists:
--- a/src/sassafrashold/platform/command.py
+++ b/src/sassafrashold/platform/command.py
@@ -8,7 +8,7 @@
 
 from sassafrashold import errors
 from sassafrashold.platform import boot
-from sassafrashold.platform import main as main_module
+from sassafrashold.platform import launch
 
 
 @click.command(name="sassafras-front")
@@ -22,14 +22,14 @@
 @click.option(
     "--metrics-port",
     type=click.IntRange(0, 65535),
-    default=main_module.METRICS_PORT,
+    default=launch.METRICS_PORT,
     show_default=True,
     help="Port of the host's address where metrics are read; 0 to disable.",
 )
 @click.option(
     "--log-level",
     type=click.Choice(["DEBUG", "INFO", "WARNING", "ERROR"]),
-    default=main_module.LOG_LEVEL,
+    default=launch.LOG_LEVEL,
     show_default=True,
     help="Lowest level that is logged.",
 )
@@ -44,7 +44,7 @@
             boot.load(path)
         except errors.SettingsError as error:
             click.echo(str(error), err=True)
-            sys.exit(main_module.EXIT_BAD_SETTINGS)
+            sys.exit(launch.EXIT_BAD_SETTINGS)
         click.echo(f"{path}: valid")
         return
-    main_module.start(path, metrics_port, log_level)
+    launch.start(path, metrics_port, log_level)
--- a/src/sassafrashold/platform/main.py
+++ b/src/sassafrashold/platform/main.py
@@ -1,48 +1,13 @@
-"""The binary `sassafras-front`: the daemon on the users' platform.
-
-Callers connect as soon as the sockets are open, and wait in their queue while
-the rest of the program is loaded, which takes most of a start. So this module
-imports little, and the rest only after the sockets are open.
-"""
+"""The binary `sassafras-front`: the daemon on the users' platform."""
 
 import gc
 import importlib
 import os
-import pathlib
 import signal
 import sys
 
-from sassafrashold import clock as clock_lib
-from sassafrashold import errors
-from sassafrashold import sockets
 from sassafrashold.platform import boot
-
-EXIT_BAD_SETTINGS = 2
-# The port that deploy/system.toml names.
-METRICS_PORT = 9464
-LOG_LEVEL = "INFO"
-
-
-def start(path: pathlib.Path, metrics_port: int, log_level: str) -> None:
-    """Opens the sockets, loads the rest of the program and runs it.
-
-    Args:
-        path: Settings file.
-        metrics_port: Where metrics are read; 0 to disable.
-        log_level: Lowest level that is logged.
-    """
-    try:
-        values = boot.load(path)
-    except errors.SettingsError as error:
-        sys.stderr.write(f"{error}\n")
-        sys.exit(EXIT_BAD_SETTINGS)
-    listeners = sockets.Listeners(
-        clients=sockets.listening_socket(values.clients),
-        readiness=sockets.listening_socket(values.readiness),
-        opened=clock_lib.SystemClock().monotonic(),
-    )
-    process = importlib.import_module("sassafrashold.platform.process")
-    process.run(values, path, listeners, metrics_port, log_level)
+from sassafrashold.platform import launch
 
 
 def main() -> None:
@@ -54,9 +19,14 @@
     # collections meanwhile would take a fifth of the start-up time.
     gc.disable()
     if len(sys.argv) > 1:
+        # Loaded only now, as a start without options does not need it.
         importlib.import_module("sassafrashold.platform.command").command()
     else:
-        start(boot.settings_path(os.environ), METRICS_PORT, LOG_LEVEL)
+        launch.start(
+            boot.settings_path(os.environ),
+            launch.METRICS_PORT,
+            launch.LOG_LEVEL,
+        )
 
 
 if __name__ == "__main__":
--- a/src/sassafrashold/platform/tests/test_start_is_quick.py
+++ b/src/sassafrashold/platform/tests/test_start_is_quick.py
@@ -12,6 +12,7 @@
 
 from sassafrashold import settings
 from sassafrashold import sockets
+from sassafrashold.platform import launch
 from sassafrashold.platform import main
 from sassafrashold.standins import ports
 
@@ -57,6 +58,6 @@
     monkeypatch.setenv("SASSAFRASHOLD_BOOT", str(path))
     monkeypatch.setattr(sys, "argv", ["sassafras-front"])
     monkeypatch.setattr(gc, "disable", lambda: None)
-    monkeypatch.setattr(main, "start", lambda *given: started.append(given))
+    monkeypatch.setattr(launch, "start", lambda *given: started.append(given))
     main.main()
-    assert started == [(path, main.METRICS_PORT, main.LOG_LEVEL)]
+    assert started == [(path, launch.METRICS_PORT, launch.LOG_LEVEL)]
--- a/src/sassafrashold/standins/records_leaf.py
+++ b/src/sassafrashold/standins/records_leaf.py
@@ -117,7 +117,7 @@
                 request_id,
                 self.leaf_id,
                 request.method,
-                request.message.path,
+                request.raw_path,
                 await request.read(),
             )
         )
