Let leafs of the soak send answers twice, broken off or without end

Change: RecordsLeaf.answer_fault; kept seeds are played without the new faults, so that they give what they gave.

--- a/src/sassafrashold/standins/records_leaf.py
+++ b/src/sassafrashold/standins/records_leaf.py
@@ -3,12 +3,30 @@
 import asyncio
 import dataclasses
 import datetime
+import enum
 import hashlib
 
 from aiohttp import web
 
 RECORD_BYTES = 16
 _RECORDS = 4
+# Longer than an answer takes, so that the connection is often in use again.
+_COPY_DELAY_S = 0.05
+_ENDLESS_BLOCK = b"10000\r\n" + b"x" * 2**16 + b"\r\n"
+_ENDLESS_PAUSE_S = 0.002
+
+
+class AnswerFault(enum.Enum):
+    """What a leaf sends in place of one whole answer."""
+
+    TWICE = "twice"
+    """The answer, and later the same bytes again."""
+
+    BROKEN_OFF = "broken_off"
+    """The first bytes, in the head or the body, then the end of the stream."""
+
+    ENDLESS = "endless"
+    """A body that goes on until the other side closes."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -36,6 +54,7 @@
 
     Faults are set by the owner: `work` is how long a request takes,
     `lose_answers` resets connections after the run, `reject` runs nothing,
+    `answer_fault` spoils the bytes of answers after the run,
     `listed_address` is the address of a proxy in front of the leaf.
     """
 
@@ -53,6 +72,7 @@
         self.work = datetime.timedelta(milliseconds=2)
         self.lose_answers = False
         self.reject = False
+        self.answer_fault: AnswerFault | None = None
         self.runs: list[Run] = []
         self.cancelled = 0
         self.address = ""
@@ -126,8 +146,11 @@
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
-        if self.lose_answers and request.transport is not None:
-            request.transport.abort()
+        transport = request.transport
+        if isinstance(transport, asyncio.Transport):
+            if self.lose_answers:
+                transport.abort()
+            await self._spoil_answer(transport, request_id)
         return web.Response(
             body=self.records(request_id),
             headers={
@@ -135,3 +158,37 @@
                 "Server-Stamp": self.signature(request_id),
             },
         )
+
+    async def _spoil_answer(
+        self, transport: asyncio.Transport, request_id: str
+    ) -> None:
+        answer = self._answer_bytes(request_id)
+        match self.answer_fault:
+            case AnswerFault.TWICE:
+                asyncio.get_running_loop().call_later(
+                    _COPY_DELAY_S, transport.write, answer
+                )
+            case AnswerFault.BROKEN_OFF:
+                # The same place for a request each time, any place for many.
+                size = hashlib.md5(answer).digest()[0] % len(answer)
+                transport.write(answer[:size])
+                transport.close()
+            case AnswerFault.ENDLESS:
+                head, _, _ = answer.partition(b"Content-Length")
+                transport.write(head + b"Transfer-Encoding: chunked\r\n\r\n")
+                while not transport.is_closing():
+                    if not transport.get_write_buffer_size():
+                        transport.write(_ENDLESS_BLOCK)
+                    await asyncio.sleep(_ENDLESS_PAUSE_S)
+            case None:
+                pass
+
+    def _answer_bytes(self, request_id: str) -> bytes:
+        body = self.records(request_id)
+        head = (
+            "HTTP/1.1 200 OK\r\n"
+            f"Request-Id: {request_id}\r\n"
+            f"Server-Stamp: {self.signature(request_id)}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        return head.encode() + body
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -5,10 +5,11 @@
 All faults are injected from outside the processes and may overlap. Proxies in
 front of the store and the leafs delay, cut and reset connections. Signals
 suspend, end and restart processes. The store drops its history or becomes
-unavailable. Leafs become slow, reject requests, lose answers or drain. Callers
-keep their connections open. Invariants are checked against the answers that
-callers received and the requests that leafs ran. A seed gives the same faults
-at the same times; the timing within the processes depends on the machine.
+unavailable. Leafs become slow, reject requests, lose answers, send them twice,
+break them off, send bytes without end, or drain. Callers keep their connections
+open. Invariants are checked against the answers that callers received and the
+requests that leafs ran. A seed gives the same faults at the same times; the
+timing within the processes depends on the machine.
 """
 
 import asyncio
@@ -29,6 +30,7 @@
 import platform_harness
 
 from sassafrashold.standins import _proxy
+from sassafrashold.standins import records_leaf
 
 _FRONT_COUNT = 3
 _CALLER_COUNT = 6
@@ -44,9 +46,21 @@
     """One run of the soak test with one seed."""
 
     def __init__(
-        self, harness: platform_harness.PlatformHarness, seed: int
+        self,
+        harness: platform_harness.PlatformHarness,
+        seed: int,
+        spoiled_answers: bool = True,
     ) -> None:
+        """Initializes the run.
+
+        Args:
+            harness: What is tested.
+            seed: Seed of faults and requests.
+            spoiled_answers: Whether leafs also spoil their answers. Without,
+                seeds give the faults that they gave before this was added.
+        """
         self._harness = harness
+        self._spoiled_answers = spoiled_answers
         self._random = random.Random(seed)
         self.violations: list[str] = []
         self.faults: list[str] = []
@@ -215,17 +229,23 @@
 
     async def _inject_leaf_fault(self, seconds: float) -> None:
         leaf = self._random.choice(self._harness.leafs)
-        match self._random.randrange(3):
+        match self._random.randrange(6 if self._spoiled_answers else 3):
             case 0:
                 leaf.work = datetime.timedelta(milliseconds=200)
             case 1:
                 leaf.lose_answers = True
-            case _:
+            case 2:
                 leaf.reject = True
+            case _:
+                leaf.answer_fault = self._random.choice(
+                    tuple(records_leaf.AnswerFault)
+                )
+                self.faults.append(leaf.answer_fault.value)
         await asyncio.sleep(seconds)
         leaf.work = datetime.timedelta(milliseconds=2)
         leaf.lose_answers = False
         leaf.reject = False
+        leaf.answer_fault = None
 
     async def _drain_leaf(self, seconds: float) -> None:
         leaf = self._random.choice(self._harness.leafs)
@@ -301,13 +321,16 @@
 
 
 async def run_seed(
-    seed: int, seconds: float, folder: pathlib.Path
+    seed: int,
+    seconds: float,
+    folder: pathlib.Path,
+    spoiled_answers: bool = True,
 ) -> tuple[list[str], list[str]]:
     """Runs one seed; returns the violations and the injected faults."""
     async with platform_harness.PlatformHarness(
         folder, fronts=_FRONT_COUNT, proxied=True
     ) as harness:
-        soak = Soak(harness, seed)
+        soak = Soak(harness, seed, spoiled_answers)
         await soak.run(seconds)
         return soak.violations, soak.faults
 
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -3,17 +3,23 @@
 import pytest
 import soak
 
-# Pairs of the seed and the seconds of fault injection.
-_SEEDS_AND_SECONDS = (
+# Seed, seconds of fault injection, and whether leafs also spoil answers; seeds
+# of older runs are played as they were.
+_RUNS = (
     # No known failure.
-    (1, 4.0),
+    (1, 4.0, False),
+    (1, 6.0, True),
     # SIGHUP ended a process that was still starting.
-    (1008, 6.0),
-    (1049, 6.0),
+    (1008, 6.0, False),
+    (1049, 6.0, False),
 )
 
 
-@pytest.mark.parametrize(("seed", "seconds"), _SEEDS_AND_SECONDS)
-async def test_invariants_hold_under_random_faults(seed, seconds, tmp_path):
-    violations, faults = await soak.run_seed(seed, seconds, tmp_path)
+@pytest.mark.parametrize(("seed", "seconds", "spoiled_answers"), _RUNS)
+async def test_invariants_hold_under_random_faults(
+    seed, seconds, spoiled_answers, tmp_path
+):
+    violations, faults = await soak.run_seed(
+        seed, seconds, tmp_path, spoiled_answers
+    )
     assert violations == [], faults
