Bound the bodies of all open requests of callers

Bytes that aiohttp kept no longer start the header timeout of an idle connection. Ruled out: pipelined requests, which aiohttp bounds.

--- a/src/sassafrashold/front/__init__.py
+++ b/src/sassafrashold/front/__init__.py
@@ -11,12 +11,10 @@
 from sassafrashold.front._interfaces import Topic
 from sassafrashold.front._interfaces import WireProtocol
 from sassafrashold.front._interfaces import ZoneChange
-from sassafrashold.front._leaf_pool import DEFAULT_MAX_ANSWER_BYTES
 from sassafrashold.front._settings import FrontSettings
 from sassafrashold.front._view import Topics
 
 __all__ = [
-    "DEFAULT_MAX_ANSWER_BYTES",
     "Daemon",
     "FrontSettings",
     "HostRegistry",
--- a/src/sassafrashold/front/_caller_connection.py
+++ b/src/sassafrashold/front/_caller_connection.py
@@ -76,7 +76,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Records the start of a head and passes the bytes to aiohttp."""
-        if isinstance(self.phase, IdlePhase):
+        # aiohttp passes no bytes when it goes on with those that it kept.
+        if data and isinstance(self.phase, IdlePhase):
             self.phase = HeadPhase(self._now())
         super().data_received(data)
 
--- a/src/sassafrashold/front/_daemon.py
+++ b/src/sassafrashold/front/_daemon.py
@@ -28,6 +28,7 @@
 from sassafrashold.front import _peers
 from sassafrashold.front import _reach
 from sassafrashold.front import _registry
+from sassafrashold.front import _request_bodies
 from sassafrashold.front import _request_log
 from sassafrashold.front import _requests
 from sassafrashold.front import _server
@@ -51,6 +52,8 @@
 _RELISTING_TIME = datetime.timedelta(seconds=2)
 _LISTEN_BACKLOG = 64
 # Leafs pause often, so the log lines about avoided leafs are rate limited.
+# Before the first configuration is known.
+_MAX_BODY_BYTES_UNCONFIGURED = 2**20
 _MAX_AVOIDED_LEAF_LINES_PER_SECOND = 5
 
 
@@ -126,6 +129,9 @@
         self._server = _server.CallerServer(
             self._requests,
             protocol,
+            _request_bodies.RequestBodies(
+                values.max_request_bytes, self._max_body_bytes
+            ),
             self._metrics,
             self._log,
             clock,
@@ -306,6 +312,12 @@
             return 0
         return self._state.connections(entry.service, ref.leaf_id)
 
+    def _max_body_bytes(self) -> int:
+        current = self._table.current
+        if current is None:
+            return _MAX_BODY_BYTES_UNCONFIGURED
+        return current.client_limits.max_body_bytes
+
     def _update_live_hosts(self, peers: tuple[relay.Peer, ...]) -> None:
         zone_hosts = [peer for peer in peers if peer.zone == self._values.zone]
         self._sourcing.set_sources(
--- a/src/sassafrashold/front/_requests.py
+++ b/src/sassafrashold/front/_requests.py
@@ -55,6 +55,7 @@
     HEAD_TOO_LARGE = "head_too_large"
     BODY_TOO_LARGE = "body_too_large"
     BODY_LATE = "body_late"
+    BODIES_FULL = "bodies_full"
     NO_LEAF = "no_leaf"
     OUT_OF_REACH = "out_of_reach"
     STARTED_LATE = "started_late"
--- a/src/sassafrashold/front/_server.py
+++ b/src/sassafrashold/front/_server.py
@@ -17,6 +17,7 @@
 from sassafrashold.front import _caller_connection
 from sassafrashold.front import _interfaces
 from sassafrashold.front import _metrics
+from sassafrashold.front import _request_bodies
 from sassafrashold.front import _request_log
 from sassafrashold.front import _requests
 
@@ -27,8 +28,8 @@
 _MAX_KEEP_ALIVE_S = 3600.0
 _MAX_HEAD_BYTES = 65536
 _MAX_HEADERS = 256
-# Bounds the memory of a body; the configured limit is checked after reading.
-_MAX_BODY_BYTES = 16 * 2**20
+# Retry-After while the bodies of open requests fill their memory.
+_BODIES_FULL_RETRY_DELAY = datetime.timedelta(seconds=1)
 # Time to read a body if its caller sends no deadline.
 _DEFAULT_BODY_TIMEOUT = datetime.timedelta(seconds=30)
 _CLIENT_CLOSED_STATUS = 499
@@ -41,6 +42,7 @@
         self,
         requests: _requests.RequestServer,
         protocol: _interfaces.WireProtocol,
+        bodies: _request_bodies.RequestBodies,
         metrics: _metrics.FrontMetrics,
         log: _request_log.RequestLog,
         clock: clock_lib.Clock,
@@ -51,6 +53,7 @@
         Args:
             requests: Serves the requests.
             protocol: Wire format of requests.
+            bodies: Bounds on the bodies of requests.
             metrics: Counts requests and closed connections.
             log: Logs how requests ended.
             clock: The clock.
@@ -60,6 +63,7 @@
         self._ends_connections = ends_connections
         self._requests = requests
         self._protocol = protocol
+        self._bodies = bodies
         self._metrics = metrics
         self._log = log
         self._clock = clock
@@ -145,14 +149,15 @@
                 message.raw_headers,
                 b"",
             )
-            if message.body_exists:
-                read_result = await _read_body(message, request)
-                if isinstance(read_result, _requests.Reply):
-                    reply = read_result
-                    return self._to_response(reply)
-                request = read_result
-            reply = await self._requests.serve(request)
-            return self._to_response(reply)
+            with self._bodies.open() as body:
+                if message.body_exists:
+                    read_result = await self._read_body(message, request, body)
+                    if isinstance(read_result, _requests.Reply):
+                        reply = read_result
+                        return self._to_response(reply)
+                    request = read_result
+                reply = await self._requests.serve(request)
+                return self._to_response(reply)
         finally:
             self.open_requests -= 1
             cast(
@@ -160,6 +165,30 @@
             ).request_ended()
             self._record_end(request, reply, arrived_at)
 
+    async def _read_body(
+        self,
+        message: web.BaseRequest,
+        request: calls.ClientRequest,
+        body: _request_bodies.OpenBody,
+    ) -> calls.ClientRequest | _requests.Reply:
+        """Returns the request with its body, or a refusal if reading fails."""
+        time_limit = request.time_left or _DEFAULT_BODY_TIMEOUT
+        try:
+            async with asyncio.timeout(time_limit.total_seconds()):
+                return dataclasses.replace(
+                    request, body=await body.read(message)
+                )
+        except _request_bodies.BodyTooLargeError:
+            return _requests.local_reply(413, _requests.Cause.BODY_TOO_LARGE)
+        except _request_bodies.BodiesFullError:
+            return _requests.local_reply(
+                503,
+                _requests.Cause.BODIES_FULL,
+                self._protocol.retry_after(_BODIES_FULL_RETRY_DELAY),
+            )
+        except TimeoutError:
+            return _requests.local_reply(408, _requests.Cause.BODY_LATE)
+
     def _to_response(self, reply: _requests.Reply) -> web.Response:
         response = web.Response(status=reply.status, body=reply.body)
         for name, value in reply.headers:
@@ -187,24 +216,10 @@
         self._log.log_end(request, reply, duration)
 
 
-async def _read_body(
-    message: web.BaseRequest, request: calls.ClientRequest
-) -> "calls.ClientRequest | _requests.Reply":
-    """Returns the request with its body, or a refusal if reading fails."""
-    time_limit = request.time_left or _DEFAULT_BODY_TIMEOUT
-    try:
-        async with asyncio.timeout(time_limit.total_seconds()):
-            return dataclasses.replace(request, body=await message.read())
-    except web.HTTPRequestEntityTooLarge:
-        return _requests.local_reply(413, _requests.Cause.BODY_TOO_LARGE)
-    except TimeoutError:
-        return _requests.local_reply(408, _requests.Cause.BODY_LATE)
-
-
 def _create_request(
     message: Any, payload: Any, protocol: Any, writer: Any, task: Any
 ) -> web.BaseRequest:
-    """Creates an aiohttp request with the body limit of this module."""
+    """Creates an aiohttp request and tells its connection that it began."""
     protocol.request_began()
     return web.BaseRequest(
         message,
@@ -213,5 +228,4 @@
         writer,
         task,
         asyncio.get_running_loop(),
-        client_max_size=_MAX_BODY_BYTES,
     )
--- a/src/sassafrashold/front/_settings.py
+++ b/src/sassafrashold/front/_settings.py
@@ -31,6 +31,9 @@
     max_answer_bytes: int
     """Maximum size of all leaf answers that are being received."""
 
+    max_request_bytes: int
+    """Maximum size of the bodies of all open requests of callers."""
+
     bootstrap: bool
     """Whether this is the first start of the whole system."""
 
--- a/src/sassafrashold/front/tests/test_caller_limits.py
+++ b/src/sassafrashold/front/tests/test_caller_limits.py
@@ -19,6 +19,7 @@
 from sassafrashold import sockets
 from sassafrashold.front import _caller_connection
 from sassafrashold.front import _metrics
+from sassafrashold.front import _request_bodies
 from sassafrashold.front import _request_log
 from sassafrashold.front import _requests
 from sassafrashold.front import _server
@@ -66,12 +67,18 @@
 
 
 class _RunningServer:
+    def __init__(self, max_request_bytes=10_000):
+        self.bodies = _request_bodies.RequestBodies(
+            max_request_bytes, lambda: LIMITS.max_body_bytes
+        )
+
     async def __aenter__(self):
         clock = clock_lib.SystemClock()
         requests: Any = _EchoRequestServer()
         self.server = _server.CallerServer(
             requests,
             wire,
+            self.bodies,
             _metrics.FrontMetrics(),
             _request_log.RequestLog(clock),
             clock,
@@ -142,6 +149,78 @@
         assert head.startswith(b"HTTP/1.1 408")
 
 
+_POST = b"POST /a HTTP/1.1\r\nHost: h\r\n"
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        _POST + b"Content-Length: 1001\r\n\r\n",
+        _POST + b"Content-Length: 99999999999999\r\n\r\nab",
+        _POST + b"Transfer-Encoding: chunked\r\n\r\n" + 60 * b"14\r\n"
+        b"01234567890123456789\r\n",
+    ],
+)
+async def test_body_above_the_limit_is_refused_before_its_end(data):
+    async with _RunningServer() as server:
+        reader, writer = await server.connect()
+        writer.write(data)
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2)
+        assert head.startswith(b"HTTP/1.1 413")
+        assert server.bodies.total == 0
+
+
+async def test_open_bodies_together_stay_within_the_memory_limit():
+    async with _RunningServer(max_request_bytes=5000) as server:
+        connections = []
+        for _ in range(8):
+            reader, writer = await server.connect()
+            writer.write(_POST + b"Content-Length: 1000\r\n\r\n" + b"x" * 900)
+            connections.append((reader, writer))
+            await asyncio.sleep(0.02)
+        refused = connections[5:]
+        for reader, _ in refused:
+            head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2)
+            assert head.startswith(b"HTTP/1.1 503")
+            assert b"Retry-After" in head
+        assert server.bodies.total == 4500
+        for reader, writer in connections[:5]:
+            writer.write(b"y" * 100)
+            head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2)
+            assert head.startswith(b"HTTP/1.1 200")
+            assert await reader.readexactly(1000) == b"x" * 900 + b"y" * 100
+        await asyncio.sleep(0.02)
+        assert server.bodies.total == 0
+
+
+async def test_bodies_of_callers_that_leave_are_not_counted():
+    async with _RunningServer() as server:
+        _, writer = await server.connect()
+        writer.write(_POST + b"Content-Length: 1000\r\n\r\n" + b"x" * 900)
+        await asyncio.sleep(0.05)
+        assert server.bodies.total == 900
+        writer.close()
+        await asyncio.sleep(0.05)
+        assert server.bodies.total == 0
+
+
+async def test_pipelined_requests_are_answered_in_order_and_then_idle():
+    async with _RunningServer() as server:
+        reader, writer = await server.connect()
+        for number in range(100):
+            body = b"%03d" % number
+            writer.write(_POST + b"Content-Length: 3\r\n\r\n" + body)
+        for number in range(100):
+            await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2)
+            assert await reader.readexactly(3) == b"%03d" % number
+        await asyncio.sleep(0.05)
+        # No head has begun, so only the idle time may close the connection.
+        server.close_overdue(header_timeout=_MINIMAL_TIMEOUT)
+        writer.write(_POST + b"Content-Length: 3\r\n\r\nend")
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2)
+        assert head.startswith(b"HTTP/1.1 200")
+
+
 @pytest.mark.parametrize(
     ("headers", "body", "cause"),
     [
--- a/src/sassafrashold/platform/process.py
+++ b/src/sassafrashold/platform/process.py
@@ -23,6 +23,10 @@
 # Part of the memory of a host for leaf answers that are being received; the
 # process itself takes up to 60 MB.
 _ANSWER_MEMORY_RATIO = 0.25
+# A body is copied for each leaf that it is sent to.
+_REQUEST_MEMORY_RATIO = 0.125
+# If the platform sets no limit.
+_DEFAULT_MEMORY_MB = 192
 _BYTES_PER_MB = 2**20
 
 
@@ -36,6 +40,7 @@
         metrics_port: Where metrics are read; 0 to disable.
     """
     metrics = settings.Address(values.ip, metrics_port)
+    memory_mb = values.memory_mb or _DEFAULT_MEMORY_MB
     return front.FrontSettings(
         host=values.host,
         zone=values.zone,
@@ -43,7 +48,8 @@
         peer_address=values.peers,
         seeds=values.seeds,
         link_mbps=values.link_mbps,
-        max_answer_bytes=_max_answer_bytes(values.memory_mb),
+        max_answer_bytes=_memory_part(memory_mb, _ANSWER_MEMORY_RATIO),
+        max_request_bytes=_memory_part(memory_mb, _REQUEST_MEMORY_RATIO),
         bootstrap=values.bootstrap,
         metrics_address=metrics if metrics_port else None,
         leaf_drain_time=values.bounds.drain,
@@ -56,10 +62,8 @@
     )
 
 
-def _max_answer_bytes(memory_mb: float) -> int:
-    if not memory_mb:
-        return front.DEFAULT_MAX_ANSWER_BYTES
-    return int(memory_mb * _ANSWER_MEMORY_RATIO * _BYTES_PER_MB)
+def _memory_part(memory_mb: float, ratio: float) -> int:
+    return int(memory_mb * ratio * _BYTES_PER_MB)
 
 
 def run(
