--- a/src/sassafrashold/control/_handlers.py
+++ b/src/sassafrashold/control/_handlers.py
@@ -28,7 +28,7 @@
 _MAX_FETCH_BYTES = 2 * 1024 * 1024
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(frozen=True)
 class Handlers:
     """Serves the methods; holds no state of its own."""
 
--- a/src/sassafrashold/owner/_service.py
+++ b/src/sassafrashold/owner/_service.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 import dataclasses
 import datetime
 import json
@@ -81,34 +83,32 @@
         self.last_arrival = self._clock.monotonic()
         request = _decode(wire.messages.ScatterRequest, body)
         _check_json(request.query, "query")
-        self._metrics.count("owner.scatter")
-        self.open_requests += 1
-        try:
-            with self._tracer.span(
-                "owner.scatter", context.traceparent, trace.SpanKind.SERVER
-            ) as span:
-                header = tracing.header_of(span)
-                scatter = _Scatter(self, context, request, header)
-                await scatter.run()
-        finally:
-            self.open_requests -= 1
+        with self._open_request("scatter", context) as traceparent:
+            await _Scatter(self, context, request, traceparent).run()
         return wire.encode(
             wire.messages.ScatterEnd(results=len(request.subqueries))
         )
 
     async def dispatch(self, context: rpc.RequestContext, body: bytes) -> bytes:
-        """Runs one non-idempotent call, or forwards it to the owner."""
+        """Runs one non-idempotent call; never forwards it."""
         self.last_arrival = self._clock.monotonic()
         request = _decode(wire.messages.DispatchRequest, body)
         _check_json(request.body, "body")
-        self._metrics.count("owner.dispatch")
+        with self._open_request("dispatch", context) as traceparent:
+            return await self._dispatch(context, request, traceparent)
+
+    @contextlib.contextmanager
+    def _open_request(
+        self, name: str, context: rpc.RequestContext
+    ) -> Iterator[str]:
+        """Counts and traces a request; yields the trace context of its span."""
+        self._metrics.count(f"owner.{name}")
         self.open_requests += 1
         try:
             with self._tracer.span(
-                "owner.dispatch", context.traceparent, trace.SpanKind.SERVER
+                f"owner.{name}", context.traceparent, trace.SpanKind.SERVER
             ) as span:
-                header = tracing.header_of(span)
-                return await self._dispatch(context, request, header)
+                yield tracing.header_of(span)
         finally:
             self.open_requests -= 1
 
