--- a/src/sassafrashold/front/_daemon.py
+++ b/src/sassafrashold/front/_daemon.py
@@ -51,9 +51,9 @@
 # again within this time.
 _RELISTING_TIME = datetime.timedelta(seconds=2)
 _LISTEN_BACKLOG = 64
-# Leafs pause often, so the log lines about avoided leafs are rate limited.
 # Before the first configuration is known.
 _MAX_BODY_BYTES_UNCONFIGURED = 2**20
+# Leafs pause often, so the log lines about avoided leafs are rate limited.
 _MAX_AVOIDED_LEAF_LINES_PER_SECOND = 5
 
 
