Count the call of a host that declined among those a route allows

A host whose query another host may have sent to leafs (no head within 40 ms) calls them itself; that was charged to the budget of extra calls, but the first host's call did not count among the leafs of the route, so the second could hedge: three. Not shown: why that host was 187 ms late. Change: such a call starts with one possible run; a refusal still allows another leaf, a lost answer or a slow one does not. A route with one attempt is not sent again. Result: new test failed before (three hedges) and passes; calls, front, aggregation 451 passed, test_aggregating_hosts 5 passed.

--- a/src/sassafrashold/calls/_service_call.py
+++ b/src/sassafrashold/calls/_service_call.py
@@ -115,11 +115,13 @@
 
         Args:
             now: Monotonic time.
-            repeated: Whether another host may have sent the request to the
-                service already, so that this call is an extra one.
+            repeated: Whether another host may have sent the request to a leaf
+                of the service already. This call is then an extra one, and that
+                leaf counts among those that the route allows.
         """
         budget = self._state.budget(self.service)
         if repeated:
+            self._possible_runs += 1
             budget.charge(now)
         else:
             budget.add_request(now)
--- a/src/sassafrashold/calls/tests/test_gather_plan.py
+++ b/src/sassafrashold/calls/tests/test_gather_plan.py
@@ -46,6 +46,26 @@
     assert outcome.body == b"h" * 16
 
 
+def test_call_of_another_host_counts_among_those_that_a_route_allows():
+    """Pattern: a host that gathers accepts a query too late or behind a cut.
+
+    It has sent the query to a leaf of each shard; of two allowed, one is left.
+    """
+    world = call_world.World(shards=3)
+    world.fill_budgets(20)
+    plan = world.plan()
+    sends = plan.start(0 * MS, repeated=True)
+    assert len(sends) == 3
+    hedges = [
+        send for time in range(10, 500, 10) for send in plan.tick(time * MS)
+    ]
+    assert hedges == []
+    lost = call_world.failed(calls.FailureKind.LOST)
+    assert plan.ended(sends[0], lost, 500 * MS) == []
+    rejected = call_world.failed(calls.FailureKind.REJECTED)
+    assert len(plan.ended(sends[1], rejected, 500 * MS)) == 1
+
+
 def test_late_shard_is_omitted_and_counted_as_missing():
     world = call_world.World(shards=10)
     plan = world.plan(answer_at_ms=90)
