--- a/src/sassafrashold/front/_daemon.py
+++ b/src/sassafrashold/front/_daemon.py
@@ -142,11 +142,7 @@
         )
         self._peer_http = _peer_http.PeerHttp()
         self._health = _health_sharing.HealthSharing(
-            values.host,
-            self._state,
-            self._peer_http,
-            clock,
-            self._is_in_own_zone,
+            values.host, self._state, self._peer_http, clock
         )
         self._sourcing = _sourcing.Sourcing(
             self._view,
@@ -316,10 +312,6 @@
             return 0
         return self._state.connections(entry.service, ref.leaf_id)
 
-    def _is_in_own_zone(self, leaf_id: str) -> bool:
-        entry = self._directory.entry(leaf_id)
-        return entry is not None and entry.zone == self._values.zone
-
     def _max_body_bytes(self) -> int:
         current = self._table.current
         if current is None:
@@ -334,15 +326,6 @@
         self._health.set_readers(
             relay.store_readers(zone_hosts), len(zone_hosts)
         )
-        zones = {peer.zone for peer in peers} - {self._values.zone}
-        self._health.set_other_zones(
-            {
-                zone: relay.store_readers(
-                    [peer for peer in peers if peer.zone == zone]
-                )
-                for zone in sorted(zones)
-            }
-        )
         self._sourcing.set_other_hosts(
             relay.likely_readers_first(
                 self._values.host, self._values.zone, peers
@@ -363,8 +346,6 @@
         async def handle(request: web.BaseRequest) -> web.StreamResponse:
             if request.path == _health_sharing.HEALTH_PATH:
                 return await self._health.handle(request)
-            if request.path == _health_sharing.ZONE_HEALTH_PATH:
-                return self._health.handle_other_zone()
             if request.path == _aggregation.AGGREGATE_PATH:
                 return await self._aggregation_server.handle(request)
             return await self._peer_server.handle(request)
--- a/src/sassafrashold/front/_health_sharing.py
+++ b/src/sassafrashold/front/_health_sharing.py
@@ -1,9 +1,6 @@
 """Shares the health of leafs and zones between the hosts of one zone."""
 
 import asyncio
-from collections.abc import Callable
-from collections.abc import Iterable
-from collections.abc import Mapping
 from collections.abc import Sequence
 import datetime
 import logging
@@ -20,7 +17,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 HEALTH_PATH = "/v1/leaf-health"
-ZONE_HEALTH_PATH = "/v1/zone-leaf-health"
 # A leaf is slow for seconds at a time; at this interval the observations of one
 # host reach all hosts of the zone within about half a second.
 _BASE_REPORT_INTERVAL = datetime.timedelta(milliseconds=400)
@@ -49,7 +45,6 @@
         state: calls.CallState,
         http: _peer_http.PeerHttp,
         clock: clock_lib.Clock,
-        is_own_leaf: Callable[[str], bool] = lambda _: False,
     ) -> None:
         """Initializes the task; nothing is shared until readers are set.
 
@@ -59,14 +54,7 @@
                 findings of the zone.
             http: HTTP client for other hosts.
             clock: Source of monotonic time.
-            is_own_leaf: Returns whether a leaf stands in the zone of this host.
         """
-        self._is_own_leaf = is_own_leaf
-        self._readers_by_other_zone: dict[str, tuple[relay.Peer, ...]] = {}
-        self._outliers_by_other_zone: dict[
-            str, tuple[datetime.timedelta, tuple[leaf_health.Outlier, ...]]
-        ] = {}
-        self._fetches: set[asyncio.Task[None]] = set()
         self._own_host = own_host
         self._state = state
         self._http = http
@@ -94,12 +82,6 @@
             1.0, hosts / _MAX_HOSTS_AT_BASE_INTERVAL
         )
 
-    def set_other_zones(
-        self, readers_by_zone: Mapping[str, tuple[relay.Peer, ...]]
-    ) -> None:
-        """Sets the readers of the other zones, by zone."""
-        self._readers_by_other_zone = dict(readers_by_zone)
-
     def report_now(self) -> None:
         """Requests a report at once, as the reach of zones has changed."""
         self._report_requested.set()
@@ -152,7 +134,6 @@
     async def _share(self, report: leaf_health.Report) -> None:
         reader = self._current_reader()
         if reader.host == self._own_host:
-            self._fetch_from_other_zones()
             zone_health = self._merge_report(report)
         else:
             try:
@@ -197,46 +178,5 @@
                 )
         self._silent_zones.report(report.host, report.unreachable_zones, now)
         return leaf_health.ZoneHealth(
-            (*self._verdicts.outliers(now), *self._outliers_elsewhere(now)),
-            self._silent_zones.zones(now),
-        )
-
-    def _outliers_elsewhere(
-        self, now: datetime.timedelta
-    ) -> Iterable[leaf_health.Outlier]:
-        """Returns the outliers that other zones found among their own leafs."""
-        for received_at, outliers in self._outliers_by_other_zone.values():
-            for outlier in outliers:
-                left = outlier.avoid_for - (now - received_at)
-                if left > datetime.timedelta():
-                    yield leaf_health.Outlier(outlier.leaf, left)
-
-    def handle_other_zone(self) -> web.Response:
-        """Answers a reader of another zone with the outliers of this zone."""
-        outliers = tuple(
-            outlier
-            for outlier in self._verdicts.outliers(self._clock.monotonic())
-            if self._is_own_leaf(outlier.leaf.leaf_id)
-        )
-        text = leaf_health.encode_zone_health(leaf_health.ZoneHealth(outliers))
-        return _peer_http.response(_peer_http.compress(text))
-
-    def _fetch_from_other_zones(self) -> None:
-        if self._fetches:
-            return
-        for zone, readers in self._readers_by_other_zone.items():
-            if readers:
-                task = asyncio.create_task(self._fetch(zone, readers[0]))
-                self._fetches.add(task)
-                task.add_done_callback(self._fetches.discard)
-
-    async def _fetch(self, zone: str, reader: relay.Peer) -> None:
-        try:
-            data = await self._http.post(reader.address, ZONE_HEALTH_PATH, "{}")
-            health = leaf_health.decode_zone_health(data)
-        except (errors.StoreError, errors.DocumentError):
-            return
-        self._outliers_by_other_zone[zone] = (
-            self._clock.monotonic(),
-            health.outliers,
+            self._verdicts.outliers(now), self._silent_zones.zones(now)
         )
