Say what the change said twice once

Found by reading the whole change; behaviour, checks and bounds stay. - Whether a divided query may have run was kept by PartMerger and by DividedGather; the groups that may have been sent say it alone. - LineBudget.info logs a rate-limited line; four places did it by hand. - LeafPool connects in a function of its own, without a try in a try. - Tests: one caller server and one strategy for spoiled bytes serve two modules each; two copies of standins' until are gone (bounds of 5 s as before). - Usual terms: 'in flight', 'the event loop is blocked'.

--- a/src/sassafrashold/calls/_part_merger.py
+++ b/src/sassafrashold/calls/_part_merger.py
@@ -47,7 +47,6 @@
         self._signature_by_shard: dict[int, str] = {}
         self._lost: set[int] = set()
         self._records: list[bytes] = []
-        self._sent = False
 
     def add(
         self, signature_by_shard: Mapping[int, str], records: bytes
@@ -61,10 +60,6 @@
         self._signature_by_shard.update(signature_by_shard)
         self._records.append(records)
 
-    def record_sent(self) -> None:
-        """Records that a leaf may have run the request."""
-        self._sent = True
-
     def settle(self, shards: Iterable[int]) -> None:
         """Records that no further parts of shards are expected.
 
@@ -81,8 +76,15 @@
             return min(self._times.answer_at, self._times.end)
         return self._times.end
 
-    def outcome(self, now: datetime.timedelta) -> _gather.GatherOutcome | None:
-        """Returns the result of the request; None while it is in progress."""
+    def outcome(
+        self, now: datetime.timedelta, *, sent: bool
+    ) -> _gather.GatherOutcome | None:
+        """Returns the result of the request; None while it is in progress.
+
+        Args:
+            now: Monotonic time.
+            sent: Whether a leaf may have run the request.
+        """
         enough = _gather.decide_success(
             self._gather,
             self._times,
@@ -99,7 +101,7 @@
         )
         if not enough:
             return _gather.GatherOutcome(
-                (), b"", len(missing), missing, False, self._sent
+                (), b"", len(missing), missing, False, sent
             )
         return _gather.GatherOutcome(
             tuple(
@@ -110,5 +112,5 @@
             len(missing),
             missing,
             True,
-            self._sent,
+            sent,
         )
--- a/src/sassafrashold/front/_aggregation.py
+++ b/src/sassafrashold/front/_aggregation.py
@@ -129,17 +129,15 @@
         accepted: bool,
         failure: Exception,
     ) -> None:
-        suppressed_lines = self._log_budget.admit("failed")
-        if suppressed_lines is None:
-            return
-        _LOGGER.info(
+        self._log_budget.info(
+            _LOGGER,
+            "failed",
             "host did not gather the query",
-            extra={
+            {
                 "request": message.request.request_id,
                 "peer": peer.host,
                 "accepted": accepted,
                 "cause": repr(failure),
-                "lines_left_out": suppressed_lines,
             },
         )
 
@@ -297,18 +295,16 @@
             if outcome == "gathered"
             else self._failure_budget
         )
-        suppressed_lines = budget.admit(outcome)
-        if suppressed_lines is None:
-            return
         duration = self._clock.monotonic() - query.arrived_at
-        _LOGGER.info(
+        budget.info(
+            _LOGGER,
+            outcome,
             "query of a host ended",
-            extra={
+            {
                 "request": message.request.request_id,
                 "outcome": outcome,
                 "duration_ms": clock_lib.to_ms(duration),
                 "shards": len(message.shards),
-                "lines_left_out": suppressed_lines,
                 **(log_fields or {}),
             },
         )
--- a/src/sassafrashold/front/_daemon.py
+++ b/src/sassafrashold/front/_daemon.py
@@ -294,16 +294,11 @@
     def _log_avoided_leaf(
         self, ref: directory_lib.LeafRef, strikes: int
     ) -> None:
-        suppressed_lines = self._avoided_leaf_log_budget.admit("avoided")
-        if suppressed_lines is None:
-            return
-        _LOGGER.info(
+        self._avoided_leaf_log_budget.info(
+            _LOGGER,
+            "avoided",
             "leaf avoided",
-            extra={
-                "leaf": ref.leaf_id,
-                "strikes": strikes,
-                "lines_left_out": suppressed_lines,
-            },
+            {"leaf": ref.leaf_id, "strikes": strikes},
         )
 
     def _idle_limit(self, ref: directory_lib.LeafRef) -> int:
--- a/src/sassafrashold/front/_gathering.py
+++ b/src/sassafrashold/front/_gathering.py
@@ -343,7 +343,7 @@
         merger = calls.PartMerger(query.gather, query.times)
         changed = asyncio.Event()
         log_by_group: list[dict[str, Any]] = [{} for _ in groups]
-        # Groups that another host may have sent to leafs.
+        # Groups that this or another host may have sent to leafs.
         maybe_sent: set[aggregation.ShardGroup] = set()
         max_missing = calls.proportional_shares(
             query.gather.max_missing, [len(group.shards) for group in groups]
@@ -361,13 +361,9 @@
         try:
             while True:
                 now = self._clock.monotonic()
-                outcome = merger.outcome(now)
+                outcome = merger.outcome(now, sent=bool(maybe_sent))
                 if outcome is not None:
-                    sent = outcome.sent or bool(maybe_sent)
-                    return (
-                        dataclasses.replace(outcome, sent=sent),
-                        {"groups": log_by_group},
-                    )
+                    return outcome, {"groups": log_by_group}
                 await _wait(changed, merger.next_time(now) - now)
         finally:
             for task in tasks:
@@ -390,7 +386,7 @@
 
         async def on_parts(parts: aggregation.MergedParts) -> None:
             if parts.sent:
-                merger.record_sent()
+                maybe_sent.add(group)
             merger.add(parts.signature_by_shard, parts.records)
             changed.set()
 
--- a/src/sassafrashold/front/_health_sharing.py
+++ b/src/sassafrashold/front/_health_sharing.py
@@ -167,15 +167,12 @@
     ) -> leaf_health.ZoneHealth:
         now = self._clock.monotonic()
         for leaf in self._verdicts.add(report.host, report.tallies, now):
-            suppressed_lines = self._log_budget.admit("trouble")
-            if suppressed_lines is not None:
-                _LOGGER.info(
-                    "leaf in trouble in the zone",
-                    extra={
-                        "leaf": leaf.leaf_id,
-                        "lines_left_out": suppressed_lines,
-                    },
-                )
+            self._log_budget.info(
+                _LOGGER,
+                "trouble",
+                "leaf in trouble in the zone",
+                {"leaf": leaf.leaf_id},
+            )
         self._silent_zones.report(report.host, report.unreachable_zones, now)
         return leaf_health.ZoneHealth(
             self._verdicts.outliers(now), self._silent_zones.zones(now)
--- a/src/sassafrashold/front/_leaf_pool.py
+++ b/src/sassafrashold/front/_leaf_pool.py
@@ -3,10 +3,12 @@
 import asyncio
 from collections.abc import Callable
 import datetime
+import socket
 
 from sassafrashold import calls
 from sassafrashold import clock as clock_lib
 from sassafrashold import directory
+from sassafrashold import settings
 from sassafrashold import sockets
 from sassafrashold.front import _answer_memory
 from sassafrashold.front import _interfaces
@@ -215,16 +217,7 @@
         sock = sockets.stream_socket()
         self.connections_opened += 1
         try:
-            try:
-                async with asyncio.timeout(_CONNECT_TIMEOUT.total_seconds()):
-                    await loop.sock_connect(
-                        sock, (leaf.address.ip, leaf.address.port)
-                    )
-            except TimeoutError:
-                # If this process stood still, the time ran out although the
-                # leaf accepted at once.
-                if not sockets.is_connected(sock):
-                    raise
+            await _connect(sock, leaf.address)
             _, connection = await loop.create_connection(
                 lambda: _leaf_connection.LeafConnection(
                     loop, self._protocol, self.answer_memory
@@ -268,3 +261,21 @@
         self._idle_by_ref.setdefault(ref, []).append(
             (self._clock.monotonic(), connection)
         )
+
+
+async def _connect(sock: socket.socket, address: settings.Address) -> None:
+    """Connects a socket.
+
+    Raises:
+        OSError: The connection was refused, or no route leads to the address.
+        TimeoutError: There was no answer in time.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(_CONNECT_TIMEOUT.total_seconds()):
+            await loop.sock_connect(sock, (address.ip, address.port))
+    except TimeoutError:
+        # If the event loop was blocked, the time ran out although the leaf
+        # accepted at once.
+        if not sockets.is_connected(sock):
+            raise
--- a/src/sassafrashold/front/_requests.py
+++ b/src/sassafrashold/front/_requests.py
@@ -298,9 +298,9 @@
                 missing=outcome.missing_services,
                 log_fields=log_fields,
             )
-        log_fields["missing"] = list(outcome.missing_services)
         if outcome.out_of_reach:
             return self._out_of_reach(outcome.missing_services, log_fields)
+        log_fields["missing"] = list(outcome.missing_services)
         if not outcome.sent:
             reply = self._refusal(503, Cause.NO_LEAF, _BUSY_RETRY_DELAY)
         elif self._clock.monotonic() >= query.times.end:
--- /dev/null
+++ b/src/sassafrashold/front/tests/caller_server.py
@@ -0,0 +1,71 @@
+"""A server for callers that runs in the process of a test."""
+
+import asyncio
+import datetime
+from typing import Any
+
+from sassafrashold import clock as clock_lib
+from sassafrashold import routing
+from sassafrashold import settings
+from sassafrashold import sockets
+from sassafrashold.front import _metrics
+from sassafrashold.front import _request_bodies
+from sassafrashold.front import _request_log
+from sassafrashold.front import _requests
+from sassafrashold.front import _server
+from sassafrashold.platform import wire
+
+S = datetime.timedelta(seconds=1)
+LIMITS = routing.ClientLimits(
+    max_header_bytes=1000,
+    max_body_bytes=1000,
+    header_timeout=3 * S,
+    idle_timeout=15 * S,
+)
+
+
+class EchoRequestServer:
+    """Replies to every request with the body of the request."""
+
+    async def serve(self, request):
+        return _requests.Reply(200, (), request.body)
+
+
+class RunningServer:
+    """An asynchronous context manager around a `CallerServer`."""
+
+    def __init__(self, requests=None, max_request_bytes=10_000):
+        self._requests: Any = requests or EchoRequestServer()
+        self.bodies = _request_bodies.RequestBodies(
+            max_request_bytes, lambda: LIMITS.max_body_bytes
+        )
+
+    async def __aenter__(self):
+        clock = clock_lib.SystemClock()
+        self.server = _server.CallerServer(
+            self._requests,
+            wire,
+            self.bodies,
+            _metrics.FrontMetrics(),
+            _request_log.RequestLog(clock),
+            clock,
+        )
+        listener = sockets.listening_socket(settings.Address("127.0.0.1", 0))
+        self._port = listener.getsockname()[1]
+        await self.server.start(listener)
+        return self
+
+    async def __aexit__(self, *_):
+        await self.server.stop_accepting()
+        await self.server.close(0.1)
+
+    async def connect(self):
+        return await asyncio.open_connection("127.0.0.1", self._port)
+
+    def close_overdue(self, **limits):
+        values = {"header_timeout": 100 * S, "idle_timeout": 100 * S, **limits}
+        self.server.close_overdue(
+            routing.ClientLimits(
+                max_header_bytes=1000, max_body_bytes=1000, **values
+            )
+        )
--- a/src/sassafrashold/front/tests/test_caller_limits.py
+++ b/src/sassafrashold/front/tests/test_caller_limits.py
@@ -15,23 +15,13 @@
 from sassafrashold import calls
 from sassafrashold import clock as clock_lib
 from sassafrashold import routing
-from sassafrashold import settings
-from sassafrashold import sockets
 from sassafrashold.front import _caller_connection
-from sassafrashold.front import _metrics
-from sassafrashold.front import _request_bodies
-from sassafrashold.front import _request_log
 from sassafrashold.front import _requests
-from sassafrashold.front import _server
+from sassafrashold.front.tests import caller_server
 from sassafrashold.platform import wire
 
-S = datetime.timedelta(seconds=1)
-LIMITS = routing.ClientLimits(
-    max_header_bytes=1000,
-    max_body_bytes=1000,
-    header_timeout=3 * S,
-    idle_timeout=15 * S,
-)
+S = caller_server.S
+LIMITS = caller_server.LIMITS
 
 
 @pytest.mark.parametrize(
@@ -59,56 +49,11 @@
     assert not _caller_connection.is_overdue(phase, limits, 1000 * S)
 
 
-class _EchoRequestServer:
-    """Replies to every request with the body of the request."""
-
-    async def serve(self, request):
-        return _requests.Reply(200, (), request.body)
-
-
-class _RunningServer:
-    def __init__(self, max_request_bytes=10_000):
-        self.bodies = _request_bodies.RequestBodies(
-            max_request_bytes, lambda: LIMITS.max_body_bytes
-        )
-
-    async def __aenter__(self):
-        clock = clock_lib.SystemClock()
-        requests: Any = _EchoRequestServer()
-        self.server = _server.CallerServer(
-            requests,
-            wire,
-            self.bodies,
-            _metrics.FrontMetrics(),
-            _request_log.RequestLog(clock),
-            clock,
-        )
-        listener = sockets.listening_socket(settings.Address("127.0.0.1", 0))
-        self._port = listener.getsockname()[1]
-        await self.server.start(listener)
-        return self
-
-    async def __aexit__(self, *_):
-        await self.server.stop_accepting()
-        await self.server.close(0.1)
-
-    async def connect(self):
-        return await asyncio.open_connection("127.0.0.1", self._port)
-
-    def close_overdue(self, **limits):
-        values = {"header_timeout": 100 * S, "idle_timeout": 100 * S, **limits}
-        self.server.close_overdue(
-            routing.ClientLimits(
-                max_header_bytes=1000, max_body_bytes=1000, **values
-            )
-        )
-
-
 _MINIMAL_TIMEOUT = datetime.timedelta(microseconds=1)
 
 
 async def test_incomplete_head_is_closed_at_header_timeout():
-    async with _RunningServer() as server:
+    async with caller_server.RunningServer() as server:
         reader, writer = await server.connect()
         writer.write(b"GET /a HTTP/1.1\r\nHo")
         await asyncio.sleep(0.05)
@@ -118,7 +63,7 @@
 
 
 async def test_idle_timeout_closes_only_connections_without_open_request():
-    async with _RunningServer() as server:
+    async with caller_server.RunningServer() as server:
         idle_reader, _ = await server.connect()
         busy_reader, writer = await server.connect()
         writer.write(
@@ -139,7 +84,7 @@
 
 
 async def test_incomplete_body_is_refused_with_408_at_deadline():
-    async with _RunningServer() as server:
+    async with caller_server.RunningServer() as server:
         reader, writer = await server.connect()
         writer.write(
             b"POST /a HTTP/1.1\r\nHost: h\r\nDeadline-Ms: 100\r\n"
@@ -162,7 +107,7 @@
     ],
 )
 async def test_body_above_the_limit_is_refused_before_its_end(data):
-    async with _RunningServer() as server:
+    async with caller_server.RunningServer() as server:
         reader, writer = await server.connect()
         writer.write(data)
         head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2)
@@ -171,7 +116,7 @@
 
 
 async def test_open_bodies_together_stay_within_the_memory_limit():
-    async with _RunningServer(max_request_bytes=5000) as server:
+    async with caller_server.RunningServer(max_request_bytes=5000) as server:
         connections = []
         for _ in range(8):
             reader, writer = await server.connect()
@@ -194,7 +139,7 @@
 
 
 async def test_bodies_of_callers_that_leave_are_not_counted():
-    async with _RunningServer() as server:
+    async with caller_server.RunningServer() as server:
         _, writer = await server.connect()
         writer.write(_POST + b"Content-Length: 1000\r\n\r\n" + b"x" * 900)
         await asyncio.sleep(0.05)
@@ -205,7 +150,7 @@
 
 
 async def test_pipelined_requests_are_answered_in_order_and_then_idle():
-    async with _RunningServer() as server:
+    async with caller_server.RunningServer() as server:
         reader, writer = await server.connect()
         for number in range(100):
             body = b"%03d" % number
--- a/src/sassafrashold/front/tests/test_leaf_pool.py
+++ b/src/sassafrashold/front/tests/test_leaf_pool.py
@@ -227,7 +227,7 @@
 
 
 @pytest.mark.parametrize("turns", range(4))
-async def test_connection_made_while_this_process_stands_still_is_used(turns):
+async def test_connection_made_while_the_event_loop_is_blocked_is_used(turns):
     """Guards against a stall of the host that counts as the leaf's failure."""
     async with _ScriptedLeaf() as leaf:
         leaf.chunks_by_request = [[_ok_answer(b"a")]]
@@ -235,7 +235,7 @@
         for _ in range(turns):
             await asyncio.sleep(0)
         # Longer than an attempt to connect may last.
-        time.sleep(0.3)  # noqa: ASYNC251 - the process must stand still
+        time.sleep(0.3)  # noqa: ASYNC251 - blocks the event loop
         result = await sending
         assert isinstance(result, calls.Answered)
 
--- a/src/sassafrashold/front/tests/test_malformed_requests.py
+++ b/src/sassafrashold/front/tests/test_malformed_requests.py
@@ -6,20 +6,12 @@
 
 import asyncio
 import contextlib
-from typing import Any
 
 import hypothesis
 from hypothesis import strategies as st
 
-from sassafrashold import clock as clock_lib
-from sassafrashold import settings
-from sassafrashold import sockets
-from sassafrashold.front import _metrics
-from sassafrashold.front import _request_bodies
-from sassafrashold.front import _request_log
-from sassafrashold.front import _requests
-from sassafrashold.front import _server
-from sassafrashold.platform import wire
+from sassafrashold.front.tests import caller_server
+from sassafrashold.tests import spoiled_bytes
 
 _HEAD = b"POST /a?b HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nDeadline-Ms: 90\r\n"
 _REQUESTS = [
@@ -43,23 +35,13 @@
         "Request-Id: \u0663\r\n".encode(),
     ]
 )
+_SPOILED_REQUESTS = spoiled_bytes.spoiled(
+    _REQUESTS, _INSERTED, most=3, changes=2, removed=8
+)
 
 
-@st.composite
-def _spoiled_requests(draw):
-    """Returns a few requests with bytes inserted, replaced or removed."""
-    data = b"".join(
-        draw(st.lists(st.sampled_from(_REQUESTS), min_size=1, max_size=3))
-    )
-    for _ in range(draw(st.integers(0, 2))):
-        position = draw(st.integers(0, len(data)))
-        removed = draw(st.integers(0, 8))
-        data = data[:position] + draw(_INSERTED) + data[position + removed :]
-    return data
-
-
-class _Echo:
-    """Answers with the body; fails on requests that no leaf could be sent."""
+class _CheckingServer(caller_server.EchoRequestServer):
+    """Also notes requests that no leaf could be sent."""
 
     def __init__(self):
         self.failures = []
@@ -70,50 +52,43 @@
                 self.failures.append((name, value))
         if "\r" in request.target or "\n" in request.target:
             self.failures.append(request.target)
-        return _requests.Reply(200, (), request.body)
+        return await super().serve(request)
 
 
-@hypothesis.given(_spoiled_requests(), st.integers(1, 80))
+async def _send(server, data, piece):
+    """Sends bytes in pieces and returns all that comes back."""
+    reader, writer = await server.connect()
+    answer = b""
+    with contextlib.suppress(ConnectionError):
+        for start in range(0, len(data), piece):
+            writer.write(data[start : start + piece])
+            await writer.drain()
+        writer.write_eof()
+        answer = await asyncio.wait_for(reader.read(), 5)
+    writer.close()
+    return answer
+
+
+@hypothesis.given(_SPOILED_REQUESTS, st.integers(1, 80))
 @hypothesis.settings(deadline=None)
 def test_any_bytes_of_a_caller_end_only_their_own_connection(data, piece):
     async def play():
-        unhandled: list[Any] = []
+        unhandled = []
         asyncio.get_running_loop().set_exception_handler(
             lambda _loop, context: unhandled.append(context)
         )
-        clock = clock_lib.SystemClock()
-        echo: Any = _Echo()
-        bodies = _request_bodies.RequestBodies(10_000, lambda: 1000)
-        server = _server.CallerServer(
-            echo,
-            wire,
-            bodies,
-            _metrics.FrontMetrics(),
-            _request_log.RequestLog(clock),
-            clock,
-        )
-        listener = sockets.listening_socket(settings.Address("127.0.0.1", 0))
-        port = listener.getsockname()[1]
-        await server.start(listener)
-        reader, writer = await asyncio.open_connection("127.0.0.1", port)
-        with contextlib.suppress(ConnectionError):
-            for start in range(0, len(data), piece):
-                writer.write(data[start : start + piece])
-                await writer.drain()
-            writer.write_eof()
-            answer = await asyncio.wait_for(reader.read(), 5)
+        requests = _CheckingServer()
+        async with caller_server.RunningServer(requests) as server:
+            answer = await _send(server, data, piece)
             assert answer == b"" or answer.startswith(b"HTTP/1."), answer
-        writer.close()
-        other_reader, other = await asyncio.open_connection("127.0.0.1", port)
-        other.write(_REQUESTS[1])
-        head = await asyncio.wait_for(other_reader.readuntil(b"\r\n\r\n"), 5)
-        assert head.startswith(b"HTTP/1.1 200")
-        assert await other_reader.readexactly(4) == b"body"
-        other.close()
-        await server.stop_accepting()
-        await server.close(0.1)
-        assert echo.failures == []
+            reader, writer = await server.connect()
+            writer.write(_REQUESTS[1])
+            head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 5)
+            assert head.startswith(b"HTTP/1.1 200")
+            assert await reader.readexactly(4) == b"body"
+            writer.close()
+        assert requests.failures == []
         assert unhandled == []
-        assert bodies.total == 0
+        assert server.bodies.total == 0
 
     asyncio.run(play())
--- a/src/sassafrashold/front/tests/test_zone_without_store.py
+++ b/src/sassafrashold/front/tests/test_zone_without_store.py
@@ -20,6 +20,7 @@
 from sassafrashold import settings
 from sassafrashold.front import _peers
 from sassafrashold.front import _sourcing
+from sassafrashold.standins import _waiting
 
 _HOSTS = 38
 _SOURCES = tuple(
@@ -81,14 +82,6 @@
         await asyncio.sleep(0.05)
 
 
-async def _wait_until(condition):
-    async with asyncio.timeout(5):
-        while True:
-            if condition():
-                return
-            await asyncio.sleep(0.01)
-
-
 def _without_store():
     return errors.SourceWithoutStoreError(errors.ErrorCode.UNAVAILABLE, "503")
 
@@ -153,7 +146,9 @@
         client.failure = errors.StoreError(
             errors.ErrorCode.UNAVAILABLE, "refused"
         )
-    await _wait_until(lambda: len(zone.store.hosts) == _HOSTS)
+    await _waiting.until(
+        lambda: len(zone.store.hosts) == _HOSTS, "all hosts ask the store", 5
+    )
     await zone.close()
 
 
@@ -169,7 +164,9 @@
 
 async def test_starting_hosts_do_not_wait_for_long():
     zone = _Zone(_without_store(), complete=False)
-    await _wait_until(lambda: len(zone.store.hosts) == _HOSTS)
+    await _waiting.until(
+        lambda: len(zone.store.hosts) == _HOSTS, "all hosts ask the store", 5
+    )
     await zone.close()
 
 
@@ -214,9 +211,11 @@
     sourcing.set_sources((), 3)
     sourcing.set_other_hosts(_SOURCES)
     task = asyncio.create_task(sourcing.run())
-    await _wait_until(lambda: sourcing.relays_store)
+    await _waiting.until(lambda: sourcing.relays_store, "relays the store", 5)
     assert not sourcing.reads_store
     client.failure = _without_store()
-    await _wait_until(lambda: not sourcing.relays_store)
+    await _waiting.until(
+        lambda: not sourcing.relays_store, "relays the store no more", 5
+    )
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
--- a/src/sassafrashold/owner/tests/test_owner_serves_only_what_it_may.py
+++ b/src/sassafrashold/owner/tests/test_owner_serves_only_what_it_may.py
@@ -28,7 +28,7 @@
     await asyncio.gather(*queries)
     assert setup.leaf.most_at_once == 1
     await setup.warm()
-    # A process that stands still sends fewer and larger calls, and each new
+    # While the event loop is blocked, calls get fewer and larger, and each new
     # connection needs an answer first, so one round may fill only two slots.
     for _ in range(10):
         queries = [setup.scatter(ONE, query=b"%d" % i) for i in range(60)]
--- a/src/sassafrashold/rpc/_server.py
+++ b/src/sassafrashold/rpc/_server.py
@@ -85,9 +85,9 @@
     async def drain(self, timeout: datetime.timedelta) -> None:
         """Stops accepting and answers callers until they have left.
 
-        Each caller is told that this process leaves. A request that is on its
-        way then still gets an answer: closing at once would leave its caller
-        in doubt whether it ran. Handlers have to refuse new work by now.
+        Each caller is told that this process leaves. A request in flight still
+        gets an answer: after an immediate close its caller would not know
+        whether it ran. Handlers have to refuse new work by now.
 
         Args:
             timeout: How long to wait for the callers.
--- a/src/sassafrashold/rpc/tests/test_malformed_frames.py
+++ b/src/sassafrashold/rpc/tests/test_malformed_frames.py
@@ -17,6 +17,7 @@
 from sassafrashold import settings
 from sassafrashold import wire
 from sassafrashold.rpc import _frames
+from sassafrashold.tests import spoiled_bytes
 
 _CLOCK = clock_lib.SystemClock()
 _ANY_PORT = settings.Address("127.0.0.1", 0)
@@ -47,19 +48,9 @@
 _INSERTED = st.binary(max_size=8) | st.sampled_from(
     [b"\x00" * 4, b"\xff" * 4, b"\xff" * 10, b"\x00\x00\x00\x05", b"\x1c" * 64]
 )
-
-
-@st.composite
-def _spoiled_frames(draw):
-    """Returns some frames with bytes inserted, replaced or removed."""
-    data = b"".join(
-        draw(st.lists(st.sampled_from(_FRAMES), min_size=1, max_size=4))
-    )
-    for _ in range(draw(st.integers(0, 3))):
-        position = draw(st.integers(0, len(data)))
-        removed = draw(st.integers(0, 4))
-        data = data[:position] + draw(_INSERTED) + data[position + removed :]
-    return data
+_SPOILED_FRAMES = spoiled_bytes.spoiled(
+    _FRAMES, _INSERTED, most=4, changes=3, removed=4
+)
 
 
 async def _echo(_context, body):
@@ -81,7 +72,7 @@
     return _CLOCK.now() + datetime.timedelta(seconds=seconds)
 
 
-@hypothesis.given(_spoiled_frames(), st.integers(1, 40))
+@hypothesis.given(_SPOILED_FRAMES, st.integers(1, 40))
 @hypothesis.settings(deadline=None)
 def test_any_bytes_end_only_their_own_connection_of_a_server(data, piece):
     async def play():
@@ -107,7 +98,7 @@
     asyncio.run(play())
 
 
-@hypothesis.given(_spoiled_frames(), st.integers(1, 40), st.booleans())
+@hypothesis.given(_SPOILED_FRAMES, st.integers(1, 40), st.booleans())
 @hypothesis.settings(deadline=None)
 def test_any_bytes_of_a_server_end_each_call_once(data, piece, closes):
     async def serve(reader, writer):
--- a/src/sassafrashold/telemetry/_lines.py
+++ b/src/sassafrashold/telemetry/_lines.py
@@ -1,9 +1,11 @@
 """A log handler that never blocks, and a rate limit for log lines."""
 
 import collections
+from collections.abc import Mapping
 import datetime
 import logging
 import os
+from typing import Any
 from typing import TextIO
 
 from sassafrashold import clock as clock_lib
@@ -86,6 +88,25 @@
         self._left_out_by_kind: collections.Counter[str] = collections.Counter()
         self.left_out = 0
 
+    def info(
+        self,
+        logger: logging.Logger,
+        kind: str,
+        message: str,
+        fields: Mapping[str, Any],
+    ) -> None:
+        """Logs one line of a kind at level INFO, or leaves it out.
+
+        Args:
+            logger: Where the line goes.
+            kind: Kind of the line.
+            message: Message of the line.
+            fields: Its fields; `lines_left_out` is added.
+        """
+        left_out = self.admit(kind)
+        if left_out is not None:
+            logger.info(message, extra={**fields, "lines_left_out": left_out})
+
     def admit(self, kind: str) -> int | None:
         """Asks to write one line of a kind.
 
--- a/tests/platform/test_aggregating_hosts.py
+++ b/tests/platform/test_aggregating_hosts.py
@@ -12,6 +12,8 @@
 import pytest
 import pytest_asyncio
 
+from sassafrashold.standins import _waiting
+
 pytestmark = pytest.mark.asyncio(loop_scope="module")
 
 _HOSTS = 12
@@ -65,14 +67,6 @@
                 return
 
 
-async def _wait_until(condition):
-    async with asyncio.timeout(5):
-        while True:
-            if condition():
-                return
-            await asyncio.sleep(0.01)
-
-
 def _aggregators(harness):
     return [f for f in harness.fronts if f.name in _AGGREGATORS]
 
@@ -111,10 +105,18 @@
         harness.send_request("/all/x", "leaves", front=_ENTRY)
     )
     shards = len(platform_harness.SHARDS)
-    await _wait_until(lambda: len(harness.runs("leaves")) >= shards)
+    await _waiting.until(
+        lambda: len(harness.runs("leaves")) >= shards,
+        "all shards are called",
+        5,
+    )
     request.cancel()
-    await _wait_until(
-        lambda: sum(leaf.cancelled for leaf in harness.leafs) >= before + shards
+    await _waiting.until(
+        lambda: (
+            sum(leaf.cancelled for leaf in harness.leafs) >= before + shards
+        ),
+        "all calls are cancelled",
+        5,
     )
 
 
