--- a/review/1/scenario.py
+++ b/review/1/scenario.py
@@ -12,12 +12,15 @@
 from standins import world as world_lib
 
 _FRONTS = {"thies-nord": 3, "dakar-pikine": 3, "kaolack-centre": 2}
-# Three shards, and the path of a route to each.
+# Four shards, and the path of a route to each.
 _PATH_BY_SERVICE = {
     "huvo11a": "/goka902/",
     "lohu93e": "/rany330/",
     "daje37f": "/nono601/",
+    "ficu72g": "/goka601/",
 }
+# Two zones hold leafs.
+_LEAF_ZONES = ("thies-nord", "dakar-pikine")
 # `garble`, how `extra late across`: share 0.5 of the leafs of all shards, 0.04
 # of their answers, 5 s.
 _EXTRA_LEAFS = 4
@@ -25,8 +28,8 @@
 _EXTRA_S = 5.0
 _PAUSE_S = 1.0
 _ROUNDS = 13
-# Requests a second for each service; its leafs serve 200.
-_RATE = 195.0
+# Requests a second for each service; its leafs serve 133.
+_RATE = 130.0
 # Traffic comes in waves, so that all leafs of a service are full at times.
 _WAVE_SWING = 0.4
 _WAVE_S = 3.0
@@ -42,7 +45,7 @@
 ) -> list[str]:
     source = random.Random()
     for service in _PATH_BY_SERVICE:
-        for zone in _FRONTS:
+        for zone in _LEAF_ZONES:
             await world.add_leaf(
                 leaf.Leaf(
                     f"i-{service}-{zone}",
