--- a/src/sassafrashold/front/_leaf_connection.py
+++ b/src/sassafrashold/front/_leaf_connection.py
@@ -27,6 +27,8 @@
 # A leaf that sends no keep-alive timeout keeps idle connections at least this
 # long.
 _DEFAULT_KEEP_ALIVE = datetime.timedelta(seconds=4)
+# A connection is replaced after this many failed requests, whose ids it keeps.
+_MAX_FAILED_IDS = 64
 # Idle connections are given up this long before the leaf closes them, so that
 # no request is in flight when it does.
 _KEEP_ALIVE_MARGIN = datetime.timedelta(milliseconds=600)
@@ -65,6 +67,7 @@
         self._request_id: str | None = None
         self._on_result: Callable[[calls.CallResult], None] | None = None
         self._received_eof = False
+        self._failed_ids: set[str] = set()
         self.max_idle_time = _DEFAULT_KEEP_ALIVE - _KEEP_ALIVE_MARGIN
 
     @property
@@ -76,6 +79,17 @@
             and not self.transport.is_closing()
         )
 
+    def may_carry(self, request_id: str | None) -> bool:
+        """Returns whether an answer with this id can only be a new one.
+
+        A leaf may send an answer twice. If the request failed here before, a
+        late copy of that answer would pass for the answer to its next sending.
+
+        Args:
+            request_id: Id of the request to send.
+        """
+        return request_id not in self._failed_ids
+
     def send(
         self,
         data: bytes,
@@ -222,21 +236,23 @@
         on_result = self._on_result
         self._on_result = None
         self._memory.release(self)
+        result = self._protocol.leaf_answer(
+            message.code, message.raw_headers, body
+        )
+        if isinstance(result, calls.Failed) and self._request_id is not None:
+            self._failed_ids.add(self._request_id)
         transport = self.transport
         reusable = (
             transport is not None
             and not message.should_close
+            and len(self._failed_ids) < _MAX_FAILED_IDS
             and not self._pending_messages
             and not transport.get_write_buffer_size()
         )
         if not reusable and transport is not None:
             transport.abort()
         if on_result is not None:
-            on_result(
-                self._protocol.leaf_answer(
-                    message.code, message.raw_headers, body
-                )
-            )
+            on_result(result)
 
     def _fail(self, detail: str) -> None:
         on_result = self._on_result
--- a/src/sassafrashold/front/_leaf_pool.py
+++ b/src/sassafrashold/front/_leaf_pool.py
@@ -116,7 +116,9 @@
         loop = asyncio.get_running_loop()
         call = LeafCall(on_result)
         deadline = self._clock.monotonic() + time_left
-        connection = self._acquire_idle(leaf.ref, at_most_once)
+        connection = self._acquire_idle(
+            leaf.ref, request.request_id, at_most_once
+        )
         if connection is not None:
             self._send(call, connection, leaf, request, deadline)
             return call
@@ -170,20 +172,36 @@
             self.close_leaf_connections(ref)
 
     def _acquire_idle(
-        self, ref: directory.LeafRef, at_most_once: bool
+        self,
+        ref: directory.LeafRef,
+        request_id: str | None,
+        at_most_once: bool,
     ) -> _leaf_connection.LeafConnection | None:
-        idle = self._idle_by_ref.get(ref)
+        """Takes the idle connection that was used last and suits the request.
+
+        If the request has failed on all of them, one is closed, so that the
+        new connection does not add to their number.
+        """
+        idle = self._idle_by_ref.get(ref, [])
         now = self._clock.monotonic()
-        while idle:
+        unsuitable = []
+        found = None
+        while idle and found is None:
             idle_since, connection = idle.pop()
             idle_time = now - idle_since
-            if connection.is_idle and idle_time < connection.max_idle_time:
-                if not at_most_once or idle_time < _MAX_IDLE_FOR_AT_MOST_ONCE:
-                    return connection
+            if not connection.is_idle or idle_time >= connection.max_idle_time:
+                connection.close()
+            elif at_most_once and idle_time >= _MAX_IDLE_FOR_AT_MOST_ONCE:
                 idle.append((idle_since, connection))
-                return None
-            connection.close()
-        return None
+                break
+            elif connection.may_carry(request_id):
+                found = connection
+            else:
+                unsuitable.append((idle_since, connection))
+        if unsuitable and found is None:
+            unsuitable.pop()[1].close()
+        idle.extend(reversed(unsuitable))
+        return found
 
     async def _connect(
         self,
--- a/src/sassafrashold/front/tests/test_leaf_pool.py
+++ b/src/sassafrashold/front/tests/test_leaf_pool.py
@@ -21,6 +21,10 @@
 
 # SO_LINGER with a time of 0: closing the socket sends a reset.
 _LINGER_ZERO = struct.pack("ii", 1, 0)
+_REJECTION = (
+    b"HTTP/1.1 503 Service Unavailable\r\nRequest-Id: a\r\n"
+    b"Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+)
 _OK_TEMPLATE = (
     b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: sig\r\n"
     b"Content-Length: 4\r\n\r\n%s"
@@ -35,10 +39,12 @@
     """A leaf that answers each request with one list of given chunks.
 
     The chunk None closes the connection, "reset" resets it. A chunk in a list
-    is sent without end, until the other side closes.
+    is sent without end, until the other side closes. With `repeats_answers`, a
+    connection sends each answer once more, just before its next one.
     """
 
-    def __init__(self, max_answer_bytes=2**30):
+    def __init__(self, max_answer_bytes=2**30, repeats_answers=False):
+        self.repeats_answers = repeats_answers
         self.max_answer_bytes = max_answer_bytes
         self.chunks_by_request = []
         self.requests = []
@@ -68,11 +74,16 @@
 
     async def _serve(self, reader, writer):
         self.connections += 1
+        previous = b""
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 self.requests.append(head)
-                for chunk in self.chunks_by_request.pop(0):
+                chunks = self.chunks_by_request.pop(0)
+                if self.repeats_answers:
+                    writer.write(previous)
+                    previous = b"".join(chunks)
+                for chunk in chunks:
                     if chunk is None:
                         writer.close()
                         return
@@ -151,6 +162,50 @@
         assert result.answer.body == b"body"
 
 
+async def test_late_copy_of_a_rejection_is_not_the_answer_to_a_retry():
+    # Guards against a request that runs twice: the leaf runs the retry, but
+    # the copy says that it did not, so another leaf gets the request too.
+    async with _ScriptedLeaf(repeats_answers=True) as leaf:
+        leaf.chunks_by_request = [[_REJECTION], [_ok_answer(b"a")]]
+        rejected = await leaf.send_request("a", at_most_once=True)
+        assert rejected.kind is calls.FailureKind.REJECTED
+        result = await leaf.send_request("a", at_most_once=True)
+        assert isinstance(result, calls.Answered)
+        assert leaf.connections == 2
+
+
+async def test_retry_after_a_rejection_uses_another_idle_connection():
+    # Guards against retries that each open a connection to a busy leaf.
+    async with _ScriptedLeaf(repeats_answers=True) as leaf:
+        leaf.chunks_by_request = [
+            [_ok_answer(b"b")],
+            [_REJECTION],
+            [_ok_answer(b"a")],
+            [_ok_answer(b"c")],
+        ]
+        other = asyncio.create_task(leaf.send_request("b"))
+        await asyncio.sleep(0)
+        await leaf.send_request("a")
+        await other
+        result = await leaf.send_request("a")
+        assert isinstance(result, calls.Answered)
+        await leaf.send_request("c")
+        assert leaf.connections == 2
+
+
+async def test_connection_with_many_rejections_is_replaced():
+    # Guards against connections that remember ids without bound.
+    async with _ScriptedLeaf() as leaf:
+        ids = [f"r{number}" for number in range(130)]
+        leaf.chunks_by_request = [
+            [_REJECTION.replace(b": a", b": " + request_id.encode())]
+            for request_id in ids
+        ]
+        for request_id in ids:
+            await leaf.send_request(request_id)
+        assert leaf.connections == 3
+
+
 async def test_unexpected_second_answer_closes_connection():
     async with _ScriptedLeaf() as leaf:
         leaf.chunks_by_request = [
