--- a/src/sassafrashold/front/_leaf_connection.py
+++ b/src/sassafrashold/front/_leaf_connection.py
@@ -67,6 +67,7 @@
         self._request_id: str | None = None
         self._on_result: Callable[[calls.CallResult], None] | None = None
         self._received_eof = False
+        self._was_used = False
         self._failed_ids: set[str] = set()
         self.max_idle_time = _DEFAULT_KEEP_ALIVE - _KEEP_ALIVE_MARGIN
 
@@ -80,14 +81,16 @@
         )
 
     def may_carry(self, request_id: str | None) -> bool:
-        """Returns whether an answer with this id can only be a new one.
+        """Returns whether a late copy can't pass for the request's answer.
 
         A leaf may send an answer twice. If the request failed here before, a
-        late copy of that answer would pass for the answer to its next sending.
+        copy of that answer has the right id; without an id, any copy has.
 
         Args:
-            request_id: Id of the request to send.
+            request_id: Id of the request to send; None if it has none.
         """
+        if request_id is None:
+            return not self._was_used
         return request_id not in self._failed_ids
 
     def send(
@@ -118,6 +121,7 @@
         self._pending_messages.clear()
         self._chunks.clear()
         self._answer_bytes = 0
+        self._was_used = True
         self._request_id = request_id
         self._on_result = on_result
         if self.transport is not None:
--- a/src/sassafrashold/front/tests/test_leaf_pool.py
+++ b/src/sassafrashold/front/tests/test_leaf_pool.py
@@ -115,7 +115,11 @@
             time_left=None,
             forwarded_headers=(
                 (b"Host", b"h"),
-                (b"Request-Id", request_id.encode()),
+                *(
+                    ()
+                    if request_id is None
+                    else ((b"Request-Id", request_id.encode()),)
+                ),
             ),
             body=b"",
         )
@@ -174,6 +178,16 @@
         assert leaf.connections == 2
 
 
+async def test_request_without_id_never_gets_the_answer_to_another():
+    # Guards against a late copy of an answer that goes to another caller: a
+    # request without an id accepts an answer with any id.
+    async with _ScriptedLeaf(repeats_answers=True) as leaf:
+        leaf.chunks_by_request = [[_ok_answer(b"a")], [_REJECTION]]
+        await leaf.send_request("a")
+        result = await leaf.send_request(None)
+        assert result.kind is calls.FailureKind.REJECTED
+
+
 async def test_retry_after_a_rejection_uses_another_idle_connection():
     # Guards against retries that each open a connection to a busy leaf.
     async with _ScriptedLeaf(repeats_answers=True) as leaf:
