--- a/src/sassafrashold/standins/objects_store.py
+++ b/src/sassafrashold/standins/objects_store.py
@@ -23,12 +23,15 @@
     """Keeps objects in memory and speaks the store's protocol.
 
     Faults are set by the owner of the stand-in: `away` answers every call
-    with 503, `silent` answers none, `forget_history` drops old changes.
+    with 503, `silent` holds calls until it is reset, `loses_calls` never
+    answers the calls that arrive while it is set, `forget_history` drops old
+    changes.
     """
 
     def __init__(self) -> None:
         self.away = False
         self.silent = False
+        self.loses_calls = False
         self.count_by_call: collections.Counter[str] = collections.Counter()
         self._revision = 1
         self._oldest = 1
@@ -104,6 +107,9 @@
     ) -> web.StreamResponse:
         stale = "serializable" in request.query
         self.count_by_call[f"{request.method}{' stale' if stale else ''}"] += 1
+        if self.loses_calls:
+            # Cancelled when the caller closes the connection.
+            await asyncio.Event().wait()
         while self.silent:  # noqa: ASYNC110 - the owner sets a plain flag
             await asyncio.sleep(0.05)
         if self.away:
