--- a/src/sassafrashold/front/_sourcing.py
+++ b/src/sassafrashold/front/_sourcing.py
@@ -1,10 +1,13 @@
 """Selects the source of the view: the store or another host."""
 
 import asyncio
+from collections.abc import Mapping
 from collections.abc import Sequence
+import dataclasses
 import datetime
 import logging
 import random
+from typing import Any
 
 from sassafrashold import errors
 from sassafrashold import relay
@@ -14,9 +17,17 @@
 from sassafrashold.front import _view
 
 _LOGGER = logging.getLogger(__name__)
-# When all hosts to follow have failed, this host reads the store for this long
-# before it tries them again.
+# A host that hears from none of its sources reads the store, and tries them
+# again at this interval.
 _STORE_FALLBACK_DURATION = datetime.timedelta(seconds=6)
+# A source that is alive answers a poll for changes within 0.8 s. One that is
+# silent for longer is still waited for, but the next one is asked as well, and
+# so on at shorter intervals.
+_POLL_SILENCE = datetime.timedelta(milliseconds=1000)
+_NEXT_SOURCE_DELAY = datetime.timedelta(milliseconds=200)
+# After this time without an answer of any source the host reads the store.
+# Operators expect a configuration to be in force within 3 s.
+_MAX_SILENCE = datetime.timedelta(milliseconds=2000)
 # Followers whose sources are alive and without the store ask again after this
 # time. The store is then likely to fail them as well, so the hosts of a zone
 # try it at this rate in all: it may turn away only some of them.
@@ -37,6 +48,17 @@
 _CONFIGURATION_BATCHING_DELAY = datetime.timedelta(milliseconds=50)
 
 
+@dataclasses.dataclass(frozen=True)
+class _SourcePoll:
+    """Outcome of polling the sources."""
+
+    answered: relay.Peer | None
+    """The source that answered; None if none did."""
+
+    error_by_source: Mapping[relay.Peer, errors.StoreError]
+    """The sources that did not, and why."""
+
+
 class Sourcing:
     """Keeps the view up to date, from the store or from another host."""
 
@@ -65,6 +87,8 @@
         self._view = view
         self._client = client
         self._sources: tuple[relay.Peer, ...] = ()
+        # Name of the source that answered last; it is asked first.
+        self._last_source = ""
         self._other_hosts: tuple[relay.Peer, ...] = ()
         self._sources_changed = asyncio.Event()
         self._configuration = topics.configuration
@@ -141,50 +165,50 @@
             self._sources_changed.clear()
             if self._sources:
                 await self._follow_hosts()
-                await self._read_store(_STORE_FALLBACK_DURATION)
+                await self._read_store(until_source_answers=True)
             else:
-                await self._read_store(None)
+                await self._read_store(until_source_answers=False)
 
     async def _follow_hosts(self) -> None:
         """Follows the sources until this host should read the store itself.
 
-        That is when all have failed in a row. If some of them are alive and
-        without the store, it is for a few hosts of the zone only.
+        That is when none of them answers. If the readers among them are alive
+        and without the store, it is for a few hosts of the zone only.
         """
-        # The latest failures in a row.
-        failures: list[errors.StoreError] = []
-        position = 0
         following = ""
         startup_polls = 0
-        unfollowed: set[str] = set()
+        # The latest failures in a row, by source.
+        error_by_source: dict[relay.Peer, errors.StoreError] = {}
         while self._sources:
-            source = self._sources[position % len(self._sources)]
-            try:
-                await self._client.follow_once(source.address)
-            except errors.StoreError as error:
-                failures.append(error)
-                position += 1
-                if source.host not in unfollowed:
-                    unfollowed.add(source.host)
+            # Once all have failed, each poll asks the one that failed first.
+            untried = [s for s in self._sources if s not in error_by_source]
+            oldest = [s for s in error_by_source if s in self._sources][:1]
+            poll = await self._poll_sources(
+                sorted(untried, key=lambda s: s.host != self._last_source)
+                or oldest
+            )
+            for source, error in poll.error_by_source.items():
+                if source not in error_by_source:
                     _LOGGER.info(
                         "host not followed",
                         extra={"peer": source.host, "cause": error.message},
                     )
-            else:
-                failures.clear()
-                unfollowed.clear()
-                if source.host != following:
-                    following = source.host
+                error_by_source.pop(source, None)
+                error_by_source[source] = error
+            if poll.answered is not None:
+                error_by_source.clear()
+                self._last_source = poll.answered.host
+                if poll.answered.host != following:
+                    following = poll.answered.host
                     _LOGGER.info("following host", extra={"peer": following})
-            if len(failures) < len(self._sources):
                 continue
             if not any(
-                isinstance(error, errors.SourceWithoutStoreError)
-                for error in failures
+                isinstance(
+                    error_by_source.get(reader), errors.SourceWithoutStoreError
+                )
+                for reader in self._sources[: relay.READER_COUNT]
             ):
                 return
-            # One more failure, of the next source, leads here again.
-            del failures[: len(failures) - len(self._sources) + 1]
             if self._view.is_complete:
                 if self._is_chosen_to_try_store():
                     return
@@ -195,15 +219,86 @@
                     return
                 await asyncio.sleep(_STARTUP_PAUSE.total_seconds())
 
+    async def _poll_sources(self, sources: Sequence[relay.Peer]) -> _SourcePoll:
+        """Polls hosts until one answers.
+
+        The next host is asked as well when one fails or is silent, as it may
+        have no power or be behind a partition. All silent ones together are
+        waited for no longer than `_MAX_SILENCE`: a host that hears from nobody
+        acts on an old configuration.
+
+        Args:
+            sources: The hosts, in order of preference.
+        """
+        waiting = list(sources)
+        error_by_source: dict[relay.Peer, errors.StoreError] = {}
+        source_by_task: dict[asyncio.Task[None], relay.Peer] = {}
+        # A first copy is large: it takes longer than a poll for changes, and
+        # must not be sent by several hosts at the same time.
+        overlaps = self._view.is_complete
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + _MAX_SILENCE.total_seconds()
+        patience = _POLL_SILENCE
+        answered = None
+        try:
+            while answered is None and (waiting or source_by_task):
+                if waiting:
+                    source = waiting.pop(0)
+                    task = loop.create_task(
+                        self._client.follow_once(source.address)
+                    )
+                    source_by_task[task] = source
+                time_left = deadline - loop.time()
+                if waiting:
+                    time_left = min(patience.total_seconds(), time_left)
+                done, _ = await asyncio.wait(
+                    source_by_task,
+                    timeout=max(time_left, 0) if overlaps else None,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if not done:
+                    patience = _NEXT_SOURCE_DELAY
+                    if loop.time() >= deadline:
+                        break
+                for task in done:
+                    source = source_by_task.pop(task)
+                    try:
+                        task.result()
+                    except errors.StoreError as error:
+                        error_by_source[source] = error
+                    else:
+                        answered = source
+        finally:
+            for task in source_by_task:
+                task.cancel()
+            await asyncio.gather(*source_by_task, return_exceptions=True)
+        if answered is None:
+            for source in (*source_by_task.values(), *waiting):
+                error_by_source[source] = _silent_error(source)
+        return _SourcePoll(answered, error_by_source)
+
+    async def _wait_for_source(self) -> None:
+        """Returns when a source answers or the store is lost as well."""
+        while True:
+            await asyncio.sleep(_STORE_FALLBACK_DURATION.total_seconds())
+            if not self.health.is_confirmed:
+                return
+            if self._sources:
+                poll = await self._poll_sources(self._sources)
+                if poll.answered is not None:
+                    self._last_source = poll.answered.host
+                    return
+
     def _is_chosen_to_try_store(self) -> bool:
         tries = _STORE_TRIES_PER_SECOND * _WITHOUT_STORE_PAUSE.total_seconds()
         return self._random.random() * self._zone_hosts < tries
 
-    async def _read_store(self, duration: datetime.timedelta | None) -> None:
+    async def _read_store(self, *, until_source_answers: bool) -> None:
         """Reads the store until the hosts to follow change.
 
         Args:
-            duration: When to stop at the latest; None for no limit.
+            until_source_answers: Whether to stop also when this host can
+                follow another one again.
         """
         _LOGGER.info("reading the store")
         self._reading_store = True
@@ -216,12 +311,14 @@
                 self._follow_while_store_unavailable(),
             )
         ]
-        waiter = asyncio.create_task(self._sources_changed.wait())
+        waiters: list[asyncio.Task[Any]] = [
+            asyncio.create_task(self._sources_changed.wait())
+        ]
+        if until_source_answers:
+            waiters.append(asyncio.create_task(self._wait_for_source()))
         try:
             done, _ = await asyncio.wait(
-                (*tasks, waiter),
-                timeout=duration.total_seconds() if duration else None,
-                return_when=asyncio.FIRST_COMPLETED,
+                (*tasks, *waiters), return_when=asyncio.FIRST_COMPLETED
             )
             for task in done:
                 # Raises the exception of a failed task; outages are handled
@@ -230,9 +327,9 @@
         finally:
             self._reading_store = False
             self._follows_reader = False
-            for task in (*tasks, waiter):
+            for task in (*tasks, *waiters):
                 task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            await asyncio.gather(*tasks, *waiters, return_exceptions=True)
             self.health.reset()
 
     async def _follow_while_store_unavailable(self) -> None:
@@ -329,3 +426,9 @@
         _LOGGER.info("reading all topics again")
         for follower in self._followers:
             follower.restart(from_snapshot=True)
+
+
+def _silent_error(source: relay.Peer) -> errors.StoreError:
+    return errors.StoreError(
+        errors.ErrorCode.UNAVAILABLE, f"host {source.address}: no answer"
+    )
--- a/src/sassafrashold/front/tests/test_zone_without_store.py
+++ b/src/sassafrashold/front/tests/test_zone_without_store.py
@@ -65,6 +65,56 @@
         )
 
 
+class _WorkingStore:
+    """A store that answers, without any changes."""
+
+    def topics(self):
+        async def snapshot():
+            return relay.Batch((), 1, is_snapshot=True)
+
+        async def changes(revision, wait):
+            await asyncio.sleep(wait.total_seconds())
+            return relay.Batch((), revision)
+
+        async def stale_changes(revision):
+            return relay.Batch((), revision)
+
+        return SimpleNamespace(
+            **{
+                name: SimpleNamespace(
+                    name=name,
+                    snapshot=snapshot,
+                    changes=changes,
+                    stale_changes=stale_changes,
+                )
+                for name in _TOPICS
+            }
+        )
+
+
+class _SilentHosts:
+    """Sources without power: calls to them get no answer until they time out.
+
+    The host `alive`, if set, answers each poll after 0.1 s.
+    """
+
+    def __init__(self):
+        self.alive = None
+        self.open_polls = 0
+        self.last_answer_at = 0.0
+
+    async def follow_once(self, address, *, direct=False):
+        self.open_polls += 1
+        try:
+            if self.alive is None or address != self.alive.address:
+                await asyncio.sleep(1.5)
+                raise errors.StoreError(errors.ErrorCode.UNAVAILABLE, "silent")
+            await asyncio.sleep(0.1)
+            self.last_answer_at = asyncio.get_running_loop().time()
+        finally:
+            self.open_polls -= 1
+
+
 class _Client:
     """Behaves as the sources do: `failure` is raised while it is set."""
 
@@ -139,6 +189,73 @@
     assert tried == _HOSTS
 
 
+def _sourcing_with(client):
+    sourcing = _sourcing.Sourcing(
+        cast(Any, _View(complete=True)),
+        cast(Any, _WorkingStore().topics()),
+        cast(Any, client),
+        (),
+        random.Random(1),
+    )
+    sourcing.set_sources(_SOURCES[:3], 4)
+    return sourcing
+
+
+async def test_host_whose_sources_are_silent_reads_the_store_all_the_time():
+    # Guards against a host that acts on an old configuration for 4.5 s, again
+    # and again: it waited for each lost source in turn, and then once more.
+    sourcing = _sourcing_with(_SilentHosts())
+    task = asyncio.create_task(sourcing.run())
+    await _waiting.until(lambda: sourcing.reads_store, "reads the store", 2.5)
+    loop = asyncio.get_running_loop()
+    end = loop.time() + 9
+    longest_gap = 0.0
+    last_read_at = loop.time()
+    while loop.time() < end:
+        now = loop.time()
+        if sourcing.reads_store:
+            last_read_at = now
+        longest_gap = max(longest_gap, now - last_read_at)
+        await asyncio.sleep(0.02)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    assert longest_gap < 0.5
+
+
+async def test_host_follows_the_source_that_is_left_without_a_long_silence():
+    # Guards against silent hosts that are waited for one after the other.
+    client = _SilentHosts()
+    client.alive = _SOURCES[2]
+    sourcing = _sourcing_with(client)
+    loop = asyncio.get_running_loop()
+    task = asyncio.create_task(sourcing.run())
+    await _waiting.until(lambda: client.last_answer_at > 0, "is followed", 2)
+    first_answer_at = client.last_answer_at
+    # The host that answers is asked first from now on.
+    await asyncio.sleep(0.5)
+    assert client.last_answer_at > first_answer_at
+    assert loop.time() - client.last_answer_at < 0.4
+    assert client.open_polls == 1
+    assert not sourcing.reads_store
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
+async def test_host_that_reads_the_store_follows_again_when_a_source_is_back():
+    client = _SilentHosts()
+    sourcing = _sourcing_with(client)
+    task = asyncio.create_task(sourcing.run())
+    await _waiting.until(lambda: sourcing.reads_store, "reads the store", 5)
+    client.alive = _SOURCES[1]
+    await _waiting.until(
+        lambda: not sourcing.reads_store and client.last_answer_at > 0,
+        "follows again",
+        10,
+    )
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
 async def test_hosts_whose_sources_die_in_an_outage_read_the_store():
     zone = _Zone(_without_store())
     await asyncio.sleep(0.1)
--- a/src/sassafrashold/relay/__init__.py
+++ b/src/sassafrashold/relay/__init__.py
@@ -8,6 +8,7 @@
 from sassafrashold.relay._documents import Document
 from sassafrashold.relay._mirror import Mirror
 from sassafrashold.relay._sources import MIN_HOSTS_TO_RELAY
+from sassafrashold.relay._sources import READER_COUNT
 from sassafrashold.relay._sources import Peer
 from sassafrashold.relay._sources import likely_readers_first
 from sassafrashold.relay._sources import sources_for
@@ -15,6 +16,7 @@
 
 __all__ = [
     "MIN_HOSTS_TO_RELAY",
+    "READER_COUNT",
     "Batch",
     "Document",
     "Mirror",
--- a/src/sassafrashold/relay/_sources.py
+++ b/src/sassafrashold/relay/_sources.py
@@ -9,7 +9,8 @@
 
 # Relaying gains nothing in smaller zones, so all their hosts read the store.
 MIN_HOSTS_TO_RELAY = 4
-_READER_COUNT = 2
+# Hosts of a zone that read the store; the first of the sources of a follower.
+READER_COUNT = 2
 # Hosts that followers fall back to, in order, when the readers are unavailable.
 _FALLBACK_COUNT = 2
 
@@ -43,7 +44,7 @@
     ranked = _ranked(peers)
     if len(ranked) < MIN_HOSTS_TO_RELAY:
         return ()
-    return tuple(ranked[:_READER_COUNT])
+    return tuple(ranked[:READER_COUNT])
 
 
 def _ranked(peers: Iterable[Peer]) -> list[Peer]:
@@ -105,11 +106,9 @@
     if own_host not in names:
         return ()
     rank = names.index(own_host)
-    if rank < _READER_COUNT:
+    if rank < READER_COUNT:
         return ()
-    readers = ranked[:_READER_COUNT]
-    first = xxhash.xxh32_intdigest(own_host.encode()) % _READER_COUNT
-    fallbacks = ranked[
-        _READER_COUNT : min(rank, _READER_COUNT + _FALLBACK_COUNT)
-    ]
+    readers = ranked[:READER_COUNT]
+    first = xxhash.xxh32_intdigest(own_host.encode()) % READER_COUNT
+    fallbacks = ranked[READER_COUNT : min(rank, READER_COUNT + _FALLBACK_COUNT)]
     return (*readers[first:], *readers[:first], *fallbacks)
