--- a/src/sassafrashold/relay/_mirror.py
+++ b/src/sassafrashold/relay/_mirror.py
@@ -4,8 +4,7 @@
 
 from sassafrashold.relay import _documents
 
-# Covers more than a minute at 1,600 configurations a day and a few changes of
-# leafs each second.
+# Covers more than a minute with a few changes of leafs each second.
 _MAX_CHANGES = 512
 
 
@@ -21,9 +20,11 @@
         # The change log is complete after this revision.
         self._log_start = 0
         self._document_by_name: dict[str, _documents.Document] = {}
-        self._changes: collections.deque[tuple[int, _documents.Document]] = (
-            collections.deque()
-        )
+        # Newest change of each document, with its revision, oldest first. Older
+        # versions would fill the memory if the documents are large.
+        self._change_by_name: collections.OrderedDict[
+            str, tuple[int, _documents.Document]
+        ] = collections.OrderedDict()
 
     @property
     def revision(self) -> int | None:
@@ -48,10 +49,11 @@
         changes = self._diff(batch) if batch.is_snapshot else batch.documents
         for document in changes:
             self._set(document)
-            self._changes.append((batch.revision, document))
+            self._change_by_name[document.name] = (batch.revision, document)
+            self._change_by_name.move_to_end(document.name)
         self._revision = batch.revision
-        while len(self._changes) > _MAX_CHANGES:
-            self._log_start = self._changes.popleft()[0]
+        while len(self._change_by_name) > _MAX_CHANGES:
+            _, (self._log_start, _) = self._change_by_name.popitem(last=False)
         return batch.is_snapshot or bool(changes)
 
     def changes_since(self, revision: int | None) -> _documents.Batch | None:
@@ -77,14 +79,14 @@
             return None
         # Each configuration is sent in full, so only the newest of a series is
         # passed on.
-        newest_by_name = {
-            document.name: document
-            for changed_at, document in self._changes
+        changed = tuple(
+            document
+            for changed_at, document in self._change_by_name.values()
             if changed_at > revision
-        }
-        if not newest_by_name:
+        )
+        if not changed:
             return None
-        return _documents.Batch(tuple(newest_by_name.values()), self._revision)
+        return _documents.Batch(changed, self._revision)
 
     def _diff(self, batch: _documents.Batch) -> tuple[_documents.Document, ...]:
         """Returns the changes from the copy to a snapshot.
