--- a/src/sassafrashold/calls/_state.py
+++ b/src/sassafrashold/calls/_state.py
@@ -230,6 +230,22 @@
         """Drops the record of a leaf incarnation that has ended."""
         self._record_by_ref.pop(ref, None)
 
+    def forget_removed_routes(self) -> None:
+        """Drops the statistics of routes that are not in the configuration."""
+        current = self._table.current
+        if current is None:
+            return
+        names = {
+            route.name
+            for routes in current.routes_by_host.values()
+            for route in routes
+        }
+        self._latency_by_route = {
+            name: latency
+            for name, latency in self._latency_by_route.items()
+            if name in names
+        }
+
     def record(self, ref: directory_lib.LeafRef) -> _leaf_record.LeafRecord:
         """Returns the record of a leaf; creates it on first use."""
         record = self._record_by_ref.get(ref)
--- a/src/sassafrashold/front/_view.py
+++ b/src/sassafrashold/front/_view.py
@@ -182,6 +182,7 @@
     def _activate(self, configuration: routing.Configuration) -> None:
         previous = self._table.current
         if self._table.adopt(configuration):
+            self._state.forget_removed_routes()
             _LOGGER.info(
                 "configuration in force",
                 extra={
--- a/src/sassafrashold/front/tests/test_configuration_waits_for_leafs.py
+++ b/src/sassafrashold/front/tests/test_configuration_waits_for_leafs.py
@@ -5,6 +5,7 @@
 earlier, and 54 requests failed because their shards had no leafs.
 """
 
+import dataclasses
 import datetime
 import random
 from typing import Any
@@ -170,3 +171,15 @@
     assert len(vars(line)["listed"]) == 300
     assert vars(line)["listed"][0] == "n0-z1 n0 z1"
     assert vars(line)["removed"] == ["i-gone"]
+
+
+def test_statistics_of_a_removed_route_are_dropped_with_it():
+    # Guards against memory that grows with each route that ever existed.
+    world = _World()
+    state = world.calls.state
+    state.latency(world.calls.route)
+    removed = dataclasses.replace(world.calls.route, name="removed")
+    state.latency(removed)
+    # The state of this world knows the routes of its own table.
+    world.configure(2, ("s0", "s1"))
+    assert set(state._latency_by_route) == {world.calls.route.name}
