--- a/src/sassafrashold/leafs/client.py
+++ b/src/sassafrashold/leafs/client.py
@@ -21,6 +21,8 @@
 _BEST_EFFORT_TIMEOUT_S = 0.5
 _MAX_CLOCK_SKEW_S = leafs.MAX_CLOCK_SKEW.total_seconds()
 _KEEPALIVE_TIMEOUT_S = 3600.0
+# A faulty leaf may send a body without end.
+_MAX_ANSWER_BYTES = 16 * 2**20
 _HEADERS = {"Content-Type": "application/json"}
 _CODE_BY_REFUSAL = {
     (409, "GENERATION_CHANGED"): errors.ErrorCode.LEAF_RESTARTED,
@@ -270,7 +272,7 @@
                 ) as response:
                     if response.status != 200:
                         return None
-                    document = json.loads(await response.read())
+                    document = json.loads(await _read(response))
             except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
                 return None
         return document if isinstance(document, dict) else None
@@ -305,7 +307,7 @@
                 timeout=timeout,
             ) as response:
                 status = response.status
-                data = await response.read()
+                data = await _read(response)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise self._transport_error(error) from error
         document = _parse(data)
@@ -340,6 +342,26 @@
                 )
 
 
+async def _read(response: aiohttp.ClientResponse) -> bytes:
+    """Returns the body of an answer.
+
+    Raises:
+        aiohttp.ClientPayloadError: It exceeds the limit.
+    """
+    chunks = []
+    size = 0
+    async for chunk in response.content.iter_any():
+        size += len(chunk)
+        if size > _MAX_ANSWER_BYTES:
+            # Nothing more is read: the connection ends, and the leaf sees it.
+            response.close()
+            raise aiohttp.ClientPayloadError(
+                f"answer exceeds {_MAX_ANSWER_BYTES} bytes"
+            )
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
 def _parse(data: bytes) -> dict[str, Any] | None:
     try:
         document = json.loads(data)
