--- a/src/sassafrashold/front/_daemon.py
+++ b/src/sassafrashold/front/_daemon.py
@@ -249,15 +249,15 @@
 
     async def _drain(self) -> None:
         drain_start = self._clock.monotonic()
+        drain_deadline = (
+            drain_start + self._values.shutdown_grace * _MAX_DRAIN_RATIO
+        )
         self._stopping = True
-        self._server.drain()
+        self._server.drain(drain_deadline)
         accept_deadline = drain_start + min(
             _BALANCER_REACTION_TIME,
             self._values.shutdown_grace * _MAX_ACCEPT_RATIO,
         )
-        drain_deadline = (
-            drain_start + self._values.shutdown_grace * _MAX_DRAIN_RATIO
-        )
         _LOGGER.info(
             "draining",
             extra={
@@ -267,8 +267,7 @@
         )
         await self._sleep_until(accept_deadline)
         await self._server.stop_accepting()
-        time_left = drain_deadline - self._clock.monotonic()
-        await self._server.close(max(time_left.total_seconds(), 0.1))
+        await self._server.close()
         _LOGGER.info(
             "drained", extra={"open_requests": self._server.open_requests}
         )
--- a/src/sassafrashold/front/_requests.py
+++ b/src/sassafrashold/front/_requests.py
@@ -63,6 +63,7 @@
     LEAF_FAILED = "leaf_failed"
     TOO_FEW_PARTS = "too_few_parts"
     DEADLINE = "deadline"
+    STOPPING = "stopping"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -113,6 +114,8 @@
         self.start_queue = calls.StartQueue()
         self.local_gather = _gathering.LocalGather(state, pool, clock)
         self.divided_gather: _gathering.DividedGather | None = None
+        # Set while this process stops: when it ends the requests that are open.
+        self.stops_at: datetime.timedelta | None = None
         self._store_loaded = store_loaded
         self._startup_wait_end = clock.monotonic() + _MAX_STARTUP_WAIT
         self._table = table
@@ -144,8 +147,9 @@
         if route is None:
             return local_reply(404, Cause.NO_ROUTE)
         reply_deadline, leaf_deadline = _deadlines(request, route, arrived_at)
-        if self._clock.monotonic() >= reply_deadline:
-            return self._refusal(503, Cause.STARTED_LATE, _ZERO)
+        refusal_cause = self._known_too_late(route, reply_deadline)
+        if refusal_cause is not None:
+            return self._refusal(503, refusal_cause, _ZERO)
         services = self._table.select_services(route)
         match route.target:
             case routing.Gather() as gather:
@@ -180,6 +184,22 @@
         }
         return dataclasses.replace(reply, log_fields=log_fields)
 
+    def _known_too_late(
+        self, route: routing.Route, reply_deadline: datetime.timedelta
+    ) -> Cause | None:
+        """Returns why a request can't be answered in time; None if it can.
+
+        Its caller can still send it to another host, whereas a request that is
+        cut off may have run.
+        """
+        now = self._clock.monotonic()
+        if now >= reply_deadline:
+            return Cause.STARTED_LATE
+        usual_end = now + self._state.latency(route).slow_from(now)
+        if self.stops_at is not None and usual_end > self.stops_at:
+            return Cause.STOPPING
+        return None
+
     def query_of_peer(
         self, message: aggregation.AggregationRequest
     ) -> _gathering.Query | None:
--- a/src/sassafrashold/front/_server.py
+++ b/src/sassafrashold/front/_server.py
@@ -33,6 +33,10 @@
 # Time to read a body if its caller sends no deadline.
 _DEFAULT_BODY_TIMEOUT = datetime.timedelta(seconds=30)
 _CLIENT_CLOSED_STATUS = 499
+# Time for the replies to requests that the drain has ended.
+_REPLY_TIME_S = 0.1
+# Time for callers to read their replies, before connections are aborted.
+_FLUSH_TIME_S = 0.1
 
 
 class CallerServer:
@@ -71,7 +75,12 @@
         self._runner: web.ServerRunner | None = None
         self._sites: list[web.SockSite] = []
         self._draining = False
+        # Monotonic time at which open requests are ended; None until the drain.
+        self._answer_by: datetime.timedelta | None = None
+        self._time_limits: set[asyncio.Timeout] = set()
         self.open_requests = 0
+        self._none_open = asyncio.Event()
+        self._none_open.set()
 
     async def start(self, listener: socket.socket) -> None:
         """Starts to accept connections of callers.
@@ -97,9 +106,26 @@
         await site.start()
         self._sites.append(site)
 
-    def drain(self) -> None:
-        """Makes each further reply close its connection."""
+    def drain(self, answer_by: datetime.timedelta) -> None:
+        """Makes each further reply close its connection.
+
+        Args:
+            answer_by: Monotonic time at which requests that are still open get
+                status 504: their callers would otherwise see the connection end
+                when the process does.
+        """
         self._draining = True
+        self._answer_by = answer_by
+        self._requests.stops_at = answer_by
+        for time_limit in self._time_limits:
+            time_limit.reschedule(self._end_of_requests())
+
+    def _end_of_requests(self) -> float | None:
+        """Returns the event loop time at which open requests are ended."""
+        if self._answer_by is None:
+            return None
+        time_left = self._answer_by - self._clock.monotonic()
+        return asyncio.get_running_loop().time() + time_left.total_seconds()
 
     @property
     def connections(self) -> int:
@@ -127,19 +153,29 @@
         for site in self._sites:
             await site.stop()
 
-    async def close(self, timeout_s: float) -> None:
+    async def close(self) -> None:
         """Closes idle connections, and others once their request ends.
 
-        Args:
-            timeout_s: Time after which open requests are cancelled.
+        Requests that are open at the time given to `drain` are ended.
         """
-        if self._server is not None:
-            self._server.pre_shutdown()
-            await self._server.shutdown(timeout_s)
+        if self._server is None:
+            return
+        self._server.pre_shutdown()
+        end = self._end_of_requests() or asyncio.get_running_loop().time()
+        try:
+            async with asyncio.timeout_at(end + _REPLY_TIME_S):
+                await self._none_open.wait()
+        except TimeoutError:
+            _LOGGER.warning(
+                "requests without a reply at the end of the drain",
+                extra={"open_requests": self.open_requests},
+            )
+        await self._server.shutdown(_FLUSH_TIME_S)
 
     async def _handle(self, message: web.BaseRequest) -> web.StreamResponse:
         arrived_at = self._clock.monotonic()
         self.open_requests += 1
+        self._none_open.clear()
         request: calls.ClientRequest | None = None
         reply: _requests.Reply | None = None
         try:
@@ -156,15 +192,32 @@
                         reply = read_result
                         return self._to_response(reply)
                     request = read_result
-                reply = await self._requests.serve(request)
+                reply = await self._serve(request)
                 return self._to_response(reply)
         finally:
             self.open_requests -= 1
+            if not self.open_requests:
+                self._none_open.set()
             cast(
                 _caller_connection.CallerConnection, message.protocol
             ).request_ended()
             self._record_end(request, reply, arrived_at)
 
+    async def _serve(self, request: calls.ClientRequest) -> _requests.Reply:
+        """Serves a request; ends it when the drain does."""
+        time_limit = asyncio.timeout_at(self._end_of_requests())
+        self._time_limits.add(time_limit)
+        try:
+            async with time_limit:
+                return await self._requests.serve(request)
+        except TimeoutError:
+            if not time_limit.expired():
+                raise
+            # A leaf may be at work on it.
+            return _requests.local_reply(504, _requests.Cause.STOPPING)
+        finally:
+            self._time_limits.discard(time_limit)
+
     async def _read_body(
         self,
         message: web.BaseRequest,
--- a/src/sassafrashold/front/tests/caller_server.py
+++ b/src/sassafrashold/front/tests/caller_server.py
@@ -27,6 +27,8 @@
 class EchoRequestServer:
     """Replies to every request with the body of the request."""
 
+    stops_at = None
+
     async def serve(self, request):
         return _requests.Reply(200, (), request.body)
 
@@ -57,7 +59,7 @@
 
     async def __aexit__(self, *_):
         await self.server.stop_accepting()
-        await self.server.close(0.1)
+        await self.server.close()
 
     async def connect(self):
         return await asyncio.open_connection("127.0.0.1", self._port)
--- a/tests/platform/platform_harness.py
+++ b/tests/platform/platform_harness.py
@@ -156,6 +156,13 @@
             ),
             route("one", "/one/", service="single"),
             route("once", "/once/", service="single", type="non_idempotent"),
+            route(
+                "long",
+                "/long/",
+                service="single",
+                type="non_idempotent",
+                timeout_ms=20_000,
+            ),
         ]
 
     async def __aenter__(self) -> "PlatformHarness":
--- a/tests/platform/test_front_processes.py
+++ b/tests/platform/test_front_processes.py
@@ -8,6 +8,9 @@
 import platform_harness
 import pytest
 
+# `bounds.grace_s` of the harness: time between SIGTERM and SIGKILL.
+_GRACE_S = 6.0
+
 
 async def test_gathered_answer_holds_the_records_of_all_shards(harness):
     answer = await harness.send_request("/all/x", "r1")
@@ -212,6 +215,41 @@
     assert await front.wait_for_exit(6) == 0
 
 
+async def test_requests_that_outlast_a_planned_stop_are_answered(harness):
+    # Guards against requests that are taken, also late in the grace time, and
+    # end without an answer when the process is killed at its end.
+    front = harness.fronts[0]
+    for zone in platform_harness.ZONES:
+        harness.leaf("single", zone).work = datetime.timedelta(seconds=30)
+
+    def send(number):
+        return asyncio.create_task(
+            harness.send_request(
+                "/long/x",
+                f"r{number}",
+                method="POST",
+                body=b"job",
+                deadline_ms=20_000,
+            )
+        )
+
+    loop = asyncio.get_running_loop()
+    requests = [send(0)]
+    await asyncio.sleep(0.2)
+    front.send_signal(signal.SIGTERM)
+    killed_at = loop.time() + _GRACE_S
+    for number in range(1, 4):
+        await asyncio.sleep(0.8)
+        requests.append(send(number))
+    await asyncio.sleep(killed_at - loop.time())
+    if front.process.poll() is None:
+        front.send_signal(signal.SIGKILL)
+    answers = await asyncio.gather(*requests)
+    # 504 promises nothing: each of them has begun to run.
+    assert [answer.status for answer in answers] == [504] * 4
+    assert [len(harness.runs(f"r{number}")) for number in range(4)] == [1] * 4
+
+
 async def test_sighup_during_startup_does_not_end_the_process(harness):
     """Guards against an unhandled SIGHUP during startup (soak seed 1008).
 
