--- a/src/sassafrashold/platform/store_client.py
+++ b/src/sassafrashold/platform/store_client.py
@@ -99,15 +99,21 @@
         while True:
             body = await self._call("GET", kind, query)
             items = _require_field(body, "items", list)
-            found = [_decode_object(item) for item in items]
-            objects.extend(item for item in found if item is not None)
+            found = [
+                decoded
+                for item in items
+                if (decoded := _decode_object(item)) is not None
+            ]
+            objects.extend(found)
             # Later pages may be newer; changes are watched from the
             # revision of the first page on.
             if revision is None:
                 revision = _require_field(body, "as_of", int)
-            if not body.get("more") or not objects or not items:
+            if not body.get("more") or not items:
                 return ObjectList(tuple(objects), revision)
-            query = {**query, "after": objects[-1].name}
+            if not found:
+                raise _bad_document("no object of a page has a name")
+            query = {**query, "after": found[-1].name}
 
     async def watch(
         self,
