--- a/src/sassafrashold/platform/store_client.py
+++ b/src/sassafrashold/platform/store_client.py
@@ -3,7 +3,6 @@
 from collections.abc import Mapping
 import dataclasses
 import datetime
-import json
 import logging
 import socket
 from typing import Any
@@ -12,6 +11,7 @@
 import aiohttp
 
 from sassafrashold import clock as clock_lib
+from sassafrashold import documents
 from sassafrashold import errors
 from sassafrashold import settings
 from sassafrashold import sockets
@@ -252,8 +252,8 @@
         if not data:
             return {}
         try:
-            decoded = json.loads(data)
-        except (ValueError, RecursionError) as error:
+            decoded = documents.parse_list(data)
+        except ValueError as error:
             raise _bad_document(str(error)) from error
         if not isinstance(decoded, dict):
             raise _bad_document("expected a JSON object")
@@ -271,11 +271,18 @@
         _LOGGER.warning("stored object without name is ignored")
         return None
     revision = meta.get("revision")
+    spec, born = item.get("spec"), item.get("born")
+    if documents.is_too_deep([spec, born]):
+        _LOGGER.warning(
+            "stored object is nested too deep; read as empty",
+            extra={"object": meta["name"]},
+        )
+        spec, born = None, None
     return StoredObject(
         name=meta["name"],
         revision=revision if isinstance(revision, int) else 0,
-        spec=item.get("spec"),
-        born_unix_ms=item.get("born"),
+        spec=spec,
+        born_unix_ms=born,
         deleted=bool(meta.get("deleting")),
     )
 
