--- a/src/sassafrashold/entry/_responses.py
+++ b/src/sassafrashold/entry/_responses.py
@@ -184,5 +184,5 @@
     """Returns a JSON result as a value, and any other as a text."""
     try:
         return json.loads(result)
-    except ValueError:
+    except (ValueError, RecursionError):
         return result.decode(errors="replace")
--- a/src/sassafrashold/entry/_status.py
+++ b/src/sassafrashold/entry/_status.py
@@ -170,7 +170,12 @@
                 ),
             )
             facts = json.loads(reply.value)
-        except (errors.RpcError, wire.CodecError, ValueError) as error:
+        except (
+            errors.RpcError,
+            wire.CodecError,
+            ValueError,
+            RecursionError,
+        ) as error:
             unknown = _fact("status", process, None, None, process)
             return [unknown | {"reason": str(error)}]
         if not isinstance(facts, list):
--- a/src/sassafrashold/front/_peers.py
+++ b/src/sassafrashold/front/_peers.py
@@ -20,6 +20,8 @@
 # Query parameter of a host that is a source of others: it must not follow one
 # of these in turn.
 _DIRECT = "direct"
+# Python does not convert numbers of thousands of digits.
+_MAX_REVISION_DIGITS = 30
 # Short, because each answer also confirms that the other host still reads the
 # store.
 _LONG_POLL_TIMEOUT = datetime.timedelta(milliseconds=800)
@@ -76,6 +78,7 @@
             name: int(query[name])
             for name in self._view.mirror_by_topic
             if query.get(name, "").isdecimal()
+            and len(query[name]) <= _MAX_REVISION_DIGITS
         }
         deadline = (
             asyncio.get_running_loop().time()
--- a/src/sassafrashold/leafs/client.py
+++ b/src/sassafrashold/leafs/client.py
@@ -273,7 +273,12 @@
                     if response.status != 200:
                         return None
                     document = json.loads(await _read(response))
-            except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            except (
+                aiohttp.ClientError,
+                TimeoutError,
+                OSError,
+                *documents.DECODING_ERRORS,
+            ):
                 return None
         return document if isinstance(document, dict) else None
 
--- a/src/sassafrashold/logs/_lines.py
+++ b/src/sassafrashold/logs/_lines.py
@@ -51,7 +51,7 @@
             continue
         try:
             fields = json.loads(raw_line[start:])
-        except ValueError:
+        except (ValueError, RecursionError):
             continue
         if isinstance(fields, dict):
             yield Line(raw_line[:start].strip(), fields)
--- a/src/sassafrashold/store/http.py
+++ b/src/sassafrashold/store/http.py
@@ -15,6 +15,7 @@
 
 from sassafrashold import backoff
 from sassafrashold import clock as clock_lib
+from sassafrashold import documents
 from sassafrashold import errors
 from sassafrashold import settings
 from sassafrashold.store import _interface
@@ -24,6 +25,8 @@
 # waited for and not sent retries.
 _READ_TIMEOUT = datetime.timedelta(seconds=3)
 _WRITE_TIMEOUT = datetime.timedelta(seconds=2)
+# Python does not convert numbers of thousands of digits.
+_MAX_VERSION_DIGITS = 30
 # Allowance for the round trip, added to the wait that a watch asks for.
 _WATCH_ROUND_TRIP_ALLOWANCE = datetime.timedelta(seconds=1)
 # Minimum duration of a watch that returns nothing, so that an
@@ -121,7 +124,7 @@
                 str(found["key"]): int(found["version"])
                 for found in json.loads(body)["objects"]
             }
-        except (ValueError, KeyError, TypeError) as error:
+        except documents.DECODING_ERRORS as error:
             raise _interface.unavailable_error(
                 f"malformed list of objects: {error!r}"
             ) from error
@@ -131,7 +134,7 @@
         _, _, body = await self._read(f"{self._base}/hosts")
         try:
             return int(json.loads(body)["as_of_unix_ms"]), body
-        except (ValueError, KeyError, TypeError) as error:
+        except documents.DECODING_ERRORS as error:
             raise _interface.unavailable_error(
                 f"malformed host list: {error!r}"
             ) from error
@@ -269,11 +272,15 @@
 
 def _version(key: str, headers: Any) -> int:
     text = headers.get("ETag", "").strip('"')
-    if not text.isdecimal():
+    if not _is_version(text):
         raise _interface.unavailable_error(f"{key!r}: answer has no version")
     return int(text)
 
 
 def _version_or_zero(headers: Any) -> int:
     text = headers.get("ETag", "").strip('"')
-    return int(text) if text.isdecimal() else 0
+    return int(text) if _is_version(text) else 0
+
+
+def _is_version(text: str) -> bool:
+    return text.isdecimal() and len(text) <= _MAX_VERSION_DIGITS
