--- a/src/sassafrashold/front/_caller_connection.py
+++ b/src/sassafrashold/front/_caller_connection.py
@@ -99,6 +99,9 @@
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         """Initializes the server; arguments as in aiohttp."""
         super().__init__(*args, **kwargs)
+        self.all_closed = asyncio.Event()
+        """Set while no connection is open."""
+        self.all_closed.set()
         self._connection_arguments = {
             name: value
             for name, value in kwargs.items()
@@ -113,6 +116,33 @@
             **self._connection_arguments,
         )
 
+    def connection_made(
+        self, handler: web.RequestHandler, transport: asyncio.Transport
+    ) -> None:
+        """Records a connection; called by aiohttp."""
+        super().connection_made(handler, transport)
+        self.all_closed.clear()
+
+    def connection_lost(
+        self, handler: web.RequestHandler, exc: BaseException | None = None
+    ) -> None:
+        """Records that a connection has ended; called by aiohttp."""
+        super().connection_lost(handler, exc)
+        if not self.connections:
+            self.all_closed.set()
+
+    def close_idle(self) -> None:
+        """Closes the connections without a request.
+
+        aiohttp's `pre_shutdown` would make the others ignore all further bytes,
+        also those of a body that is being received.
+        """
+        for connection in list(self.connections):
+            if isinstance(connection, CallerConnection) and isinstance(
+                connection.phase, IdlePhase
+            ):
+                connection.force_close()
+
     def close_overdue(self, limits: routing.ClientLimits) -> int:
         """Closes connections that have exceeded the limit of their phase.
 
--- a/src/sassafrashold/front/_server.py
+++ b/src/sassafrashold/front/_server.py
@@ -33,10 +33,10 @@
 # Time to read a body if its caller sends no deadline.
 _DEFAULT_BODY_TIMEOUT = datetime.timedelta(seconds=30)
 _CLIENT_CLOSED_STATUS = 499
-# Time for the replies to requests that the drain has ended.
+# Time for callers to read the replies to requests that the drain has ended.
 _REPLY_TIME_S = 0.1
-# Time for callers to read their replies, before connections are aborted.
-_FLUSH_TIME_S = 0.1
+# Time that the HTTP library is given, twice, to end what is left.
+_FLUSH_TIME_S = 0.05
 
 
 class CallerServer:
@@ -79,8 +79,6 @@
         self._answer_by: datetime.timedelta | None = None
         self._time_limits: set[asyncio.Timeout] = set()
         self.open_requests = 0
-        self._none_open = asyncio.Event()
-        self._none_open.set()
 
     async def start(self, listener: socket.socket) -> None:
         """Starts to accept connections of callers.
@@ -156,26 +154,29 @@
     async def close(self) -> None:
         """Closes idle connections, and others once their request ends.
 
-        Requests that are open at the time given to `drain` are ended.
+        Requests whose bodies are being received are read and served. Requests
+        that are open at the time given to `drain` are ended.
         """
         if self._server is None:
             return
-        self._server.pre_shutdown()
+        self._server.close_idle()
         end = self._end_of_requests() or asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout_at(end + _REPLY_TIME_S):
-                await self._none_open.wait()
+                await self._server.all_closed.wait()
         except TimeoutError:
-            _LOGGER.warning(
-                "requests without a reply at the end of the drain",
-                extra={"open_requests": self.open_requests},
+            _LOGGER.info(
+                "connections open at the end of the drain",
+                extra={
+                    "connections": self.connections,
+                    "open_requests": self.open_requests,
+                },
             )
         await self._server.shutdown(_FLUSH_TIME_S)
 
     async def _handle(self, message: web.BaseRequest) -> web.StreamResponse:
         arrived_at = self._clock.monotonic()
         self.open_requests += 1
-        self._none_open.clear()
         request: calls.ClientRequest | None = None
         reply: _requests.Reply | None = None
         try:
@@ -186,35 +187,45 @@
                 b"",
             )
             with self._bodies.open() as body:
-                if message.body_exists:
-                    read_result = await self._read_body(message, request, body)
-                    if isinstance(read_result, _requests.Reply):
-                        reply = read_result
-                        return self._to_response(reply)
-                    request = read_result
-                reply = await self._serve(request)
+                reply = await self._reply(message, request, body)
                 return self._to_response(reply)
         finally:
             self.open_requests -= 1
-            if not self.open_requests:
-                self._none_open.set()
             cast(
                 _caller_connection.CallerConnection, message.protocol
             ).request_ended()
             self._record_end(request, reply, arrived_at)
 
-    async def _serve(self, request: calls.ClientRequest) -> _requests.Reply:
-        """Serves a request; ends it when the drain does."""
+    async def _reply(
+        self,
+        message: web.BaseRequest,
+        request: calls.ClientRequest,
+        body: _request_bodies.OpenBody,
+    ) -> _requests.Reply:
+        """Reads and serves a request; ends it when the drain does."""
+        was_read = False
         time_limit = asyncio.timeout_at(self._end_of_requests())
         self._time_limits.add(time_limit)
         try:
             async with time_limit:
+                if message.body_exists:
+                    read_result = await self._read_body(message, request, body)
+                    if isinstance(read_result, _requests.Reply):
+                        return read_result
+                    request = read_result
+                was_read = True
                 return await self._requests.serve(request)
         except TimeoutError:
             if not time_limit.expired():
                 raise
-            # A leaf may be at work on it.
-            return _requests.local_reply(504, _requests.Cause.STOPPING)
+            if was_read:
+                # A leaf may be at work on it.
+                return _requests.local_reply(504, _requests.Cause.STOPPING)
+            return _requests.local_reply(
+                503,
+                _requests.Cause.STOPPING,
+                self._protocol.retry_after(datetime.timedelta()),
+            )
         finally:
             self._time_limits.discard(time_limit)
 
--- a/src/sassafrashold/front/tests/test_end_of_drain.py
+++ b/src/sassafrashold/front/tests/test_end_of_drain.py
@@ -108,3 +108,55 @@
     assert server._known_too_late(world.route, deadline) is None
     server.stops_at = now + left_ms * call_world.MS
     assert server._known_too_late(world.route, deadline) is cause
+
+
+_UPLOAD_HEAD = (
+    b"POST /a HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nContent-Length: 6\r\n\r\n"
+)
+
+
+async def test_body_that_is_being_received_at_the_close_is_served():
+    # Guards against bodies that are read and thrown away: the caller had sent
+    # all of its request and got no answer.
+    async with caller_server.RunningServer() as server:
+        idle_reader, _ = await server.connect()
+        reader, writer = await server.connect()
+        writer.write(_UPLOAD_HEAD + b"abc")
+        await asyncio.sleep(0.05)
+        server.server.drain(_in(5))
+        closing = asyncio.create_task(server.server.close())
+        assert await asyncio.wait_for(idle_reader.read(), 1) == b""
+        writer.write(b"def")
+        data = await asyncio.wait_for(reader.read(), 1)
+        assert data.startswith(b"HTTP/1.1 200 ")
+        assert b"Connection: close" in data
+        assert data.endswith(b"abcdef")
+        await asyncio.wait_for(closing, 1)
+
+
+async def test_head_that_is_being_received_at_the_close_is_served():
+    async with caller_server.RunningServer() as server:
+        reader, writer = await server.connect()
+        writer.write(_UPLOAD_HEAD[:20])
+        await asyncio.sleep(0.05)
+        server.server.drain(_in(5))
+        closing = asyncio.create_task(server.server.close())
+        await asyncio.sleep(0.05)
+        writer.write(_UPLOAD_HEAD[20:] + b"abcdef")
+        data = await asyncio.wait_for(reader.read(), 1)
+        assert data.startswith(b"HTTP/1.1 200 ")
+        await asyncio.wait_for(closing, 1)
+
+
+async def test_body_that_outlasts_the_drain_is_refused_unsent():
+    requests = _SlowRequestServer()
+    async with caller_server.RunningServer(requests) as server:
+        reader, writer = await server.connect()
+        writer.write(_UPLOAD_HEAD + b"abc")
+        await asyncio.sleep(0.05)
+        server.server.drain(_in(0.3))
+        await asyncio.wait_for(server.server.close(), 1)
+        data = await asyncio.wait_for(reader.read(), 1)
+        assert data.startswith(b"HTTP/1.1 503 ")
+        assert b"Retry-After: 0" in data
+        assert requests.began == 0
