--- a/src/sassafrashold/documents.py
+++ b/src/sassafrashold/documents.py
@@ -25,7 +25,11 @@
 _MAX_PARSED_DEPTH = _MAX_DEPTH + 16
 # Python converts no more digits (`sys.int_info.default_max_str_digits`).
 _MAX_DIGITS = 4000
-_STRING_OR_BRACKET = re.compile(r'"[^"\\]*(?:\\.[^"\\]*)*"|[\[\]{}]', re.DOTALL)
+# A string without an end reaches to the end of the text, so that the time to
+# scan it stays proportional to its length.
+_STRING_OR_BRACKET = re.compile(
+    r'"[^"\\]*(?:\\.[^"\\]*)*(?:"|\\?\Z)|[\[\]{}]', re.DOTALL
+)
 
 
 def parse(key: str, data: bytes) -> dict[str, Any]:
--- a/src/sassafrashold/platform/tests/test_unreadable_entries.py
+++ b/src/sassafrashold/platform/tests/test_unreadable_entries.py
@@ -119,7 +119,12 @@
 
 
 @pytest.mark.parametrize(
-    "text", ["[", "[[1, 2", "{" * 500, "[" * 500 + '"', "", "}", "]" * 200]
+    "text",
+    [
+        *("[", "[[1, 2", "{" * 500, "[" * 500 + '"', "", "}", "]" * 200),
+        '["' + '\\"' * 300_000,
+    ],
+    ids=range(8),
 )
 def test_text_that_is_no_json_is_an_error(text):
     with pytest.raises(ValueError):
