--- a/src/sassafrashold/front/_sourcing.py
+++ b/src/sassafrashold/front/_sourcing.py
@@ -28,6 +28,9 @@
 # After this time without an answer of any source the host reads the store.
 # Operators expect a configuration to be in force within 3 s.
 _MAX_SILENCE = datetime.timedelta(milliseconds=2000)
+# The same for a host without a copy, which is large and may take over a second
+# when a whole zone starts.
+_MAX_STARTUP_SILENCE = datetime.timedelta(milliseconds=3000)
 # Followers whose sources are alive and without the store ask again after this
 # time. The store is then likely to fail them as well, so the hosts of a zone
 # try it at this rate in all: it may turn away only some of them.
@@ -225,7 +228,7 @@
         The next host is asked as well when one fails or is silent, as it may
         have no power or be behind a partition. All silent ones together are
         waited for no longer than `_MAX_SILENCE`: a host that hears from nobody
-        acts on an old configuration.
+        acts on an old configuration, or on none.
 
         Args:
             sources: The hosts, in order of preference.
@@ -237,7 +240,8 @@
         # must not be sent by several hosts at the same time.
         overlaps = self._view.is_complete
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + _MAX_SILENCE.total_seconds()
+        max_silence = _MAX_SILENCE if overlaps else _MAX_STARTUP_SILENCE
+        deadline = loop.time() + max_silence.total_seconds()
         patience = _POLL_SILENCE
         answered = None
         try:
@@ -249,11 +253,11 @@
                     )
                     source_by_task[task] = source
                 time_left = deadline - loop.time()
-                if waiting:
+                if waiting and overlaps:
                     time_left = min(patience.total_seconds(), time_left)
                 done, _ = await asyncio.wait(
                     source_by_task,
-                    timeout=max(time_left, 0) if overlaps else None,
+                    timeout=max(time_left, 0),
                     return_when=asyncio.FIRST_COMPLETED,
                 )
                 if not done:
--- a/src/sassafrashold/front/tests/test_zone_without_store.py
+++ b/src/sassafrashold/front/tests/test_zone_without_store.py
@@ -34,8 +34,9 @@
     def __init__(self, complete):
         self.is_complete = complete
         self.mirror_by_topic = {name: relay.Mirror() for name in _TOPICS}
-        for mirror in self.mirror_by_topic.values():
-            mirror.apply(relay.Batch((), 1, is_snapshot=True))
+        if complete:
+            for mirror in self.mirror_by_topic.values():
+                mirror.apply(relay.Batch((), 1, is_snapshot=True))
 
     def apply_batch(self, _name, _batch):
         self.is_complete = True
@@ -189,9 +190,9 @@
     assert tried == _HOSTS
 
 
-def _sourcing_with(client):
+def _sourcing_with(client, complete=True):
     sourcing = _sourcing.Sourcing(
-        cast(Any, _View(complete=True)),
+        cast(Any, _View(complete)),
         cast(Any, _WorkingStore().topics()),
         cast(Any, client),
         (),
@@ -241,6 +242,16 @@
     await asyncio.gather(task, return_exceptions=True)
 
 
+async def test_starting_host_whose_sources_are_silent_reads_the_store_soon():
+    # Guards against a host that starts without a configuration for 4.5 s after
+    # its zone has lost the other hosts.
+    sourcing = _sourcing_with(_SilentHosts(), complete=False)
+    task = asyncio.create_task(sourcing.run())
+    await _waiting.until(lambda: sourcing.reads_store, "reads the store", 3.5)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
 async def test_host_that_reads_the_store_follows_again_when_a_source_is_back():
     client = _SilentHosts()
     sourcing = _sourcing_with(client)
