--- a/src/sassafrashold/calls/tests/call_world.py
+++ b/src/sassafrashold/calls/tests/call_world.py
@@ -1,5 +1,7 @@
 """A host and services with leafs in three zones, for tests of the policy."""
 
+from collections.abc import Mapping
+from collections.abc import Sequence
 import datetime
 import random
 from typing import TypeVar
@@ -27,6 +29,25 @@
     )
 
 
+def configuration(
+    version: int,
+    routes: Sequence[routing.Route],
+    limits_by_service: Mapping[str, routing.ServiceLimits] | None = None,
+) -> routing.Configuration:
+    """Returns a configuration with routes of the host `h`."""
+    return routing.Configuration(
+        version=version,
+        routes_by_host={"h": tuple(routes)},
+        limits_by_service=limits_by_service or {},
+        client_limits=routing.ClientLimits(
+            max_header_bytes=1,
+            max_body_bytes=1,
+            header_timeout=MS,
+            idle_timeout=MS,
+        ),
+    )
+
+
 class World:
     """State of one host and a route to `shards` services."""
 
@@ -64,16 +85,8 @@
         )
         table = routing.RouteTable(random.Random(1))
         table.adopt(
-            routing.Configuration(
-                version=1,
-                routes_by_host={"h": (self.route,)},
-                limits_by_service=dict.fromkeys(self.services, limits),
-                client_limits=routing.ClientLimits(
-                    max_header_bytes=1,
-                    max_body_bytes=1,
-                    header_timeout=MS,
-                    idle_timeout=MS,
-                ),
+            configuration(
+                1, (self.route,), dict.fromkeys(self.services, limits)
             )
         )
         self.directory = directory.LeafDirectory(
--- a/src/sassafrashold/calls/tests/test_removed_routes.py
+++ b/src/sassafrashold/calls/tests/test_removed_routes.py
@@ -15,20 +15,6 @@
 MS = call_world.MS
 
 
-def _configuration(version, routes):
-    return routing.Configuration(
-        version=version,
-        routes_by_host={"h": tuple(routes)},
-        limits_by_service={},
-        client_limits=routing.ClientLimits(
-            max_header_bytes=1,
-            max_body_bytes=1,
-            header_timeout=MS,
-            idle_timeout=MS,
-        ),
-    )
-
-
 def test_statistics_of_removed_routes_are_dropped_and_others_kept():
     kept = call_world.World().route
     table = routing.RouteTable(random.Random(1))
@@ -50,7 +36,7 @@
     latency = state.latency(kept)
     for version in range(1, 200):
         added = dataclasses.replace(kept, name=f"added-{version}")
-        table.adopt(_configuration(version, [kept, added]))
+        table.adopt(call_world.configuration(version, [kept, added]))
         state.forget_removed_routes()
         state.latency(added)
     assert set(state._latency_by_route) == {"r", "added-199"}
--- a/src/sassafrashold/front/tests/test_configuration_waits_for_leafs.py
+++ b/src/sassafrashold/front/tests/test_configuration_waits_for_leafs.py
@@ -68,25 +68,13 @@
         route = self.calls.route
         self._apply_document(
             "configuration",
-            routing.Configuration(
-                version=version,
-                routes_by_host={
-                    "h": (
-                        routing.Route(
-                            **{
-                                **vars(route),
-                                "target": routing.Gather(shards, 5, 0.8),
-                            }
-                        ),
+            call_world.configuration(
+                version,
+                [
+                    dataclasses.replace(
+                        route, target=routing.Gather(shards, 5, 0.8)
                     )
-                },
-                limits_by_service={},
-                client_limits=routing.ClientLimits(
-                    max_header_bytes=1,
-                    max_body_bytes=1,
-                    header_timeout=MS,
-                    idle_timeout=MS,
-                ),
+                ],
             ),
         )
 
--- a/src/sassafrashold/leafs/tests/test_answers_without_end.py
+++ b/src/sassafrashold/leafs/tests/test_answers_without_end.py
@@ -48,39 +48,34 @@
         writer.close()
 
 
-@pytest.mark.parametrize("kind", _HEADS)
-async def test_answer_without_end_is_a_failed_call_and_is_not_kept(kind):
-    leaf = _EndlessLeaf(_HEADS[kind])
+@contextlib.asynccontextmanager
+async def _client_of(leaf):
     server = await asyncio.start_server(leaf.serve, "127.0.0.1", 0)
     address = settings.Address(*server.sockets[0].getsockname())
     client = leaf_client.LeafClient(address, 1, _CLOCK, 1)
-    deadline = _CLOCK.now() + datetime.timedelta(seconds=20)
     tracemalloc.start()
     try:
-        with pytest.raises(errors.LeafError) as caught:
-            await client.query("r", "s", "v", (), deadline)
+        yield client
         _, peak = tracemalloc.get_traced_memory()
     finally:
         tracemalloc.stop()
-    assert caught.value.ran is errors.Ran.OUTCOME_UNKNOWN
+        await client.close()
+        server.close()
     assert peak < 2 * _LIMIT
+
+
+@pytest.mark.parametrize("kind", _HEADS)
+async def test_answer_without_end_is_a_failed_call_and_is_not_kept(kind):
+    leaf = _EndlessLeaf(_HEADS[kind])
+    deadline = _CLOCK.now() + datetime.timedelta(seconds=20)
+    async with _client_of(leaf) as client:
+        with pytest.raises(errors.LeafError) as caught:
+            await client.query("r", "s", "v", (), deadline)
+    assert caught.value.ran is errors.Ran.OUTCOME_UNKNOWN
     assert leaf.sent < _SENT
-    await client.close()
-    server.close()
 
 
 @pytest.mark.parametrize("kind", _HEADS)
 async def test_health_report_without_end_is_none(kind):
-    leaf = _EndlessLeaf(_HEADS[kind])
-    server = await asyncio.start_server(leaf.serve, "127.0.0.1", 0)
-    address = settings.Address(*server.sockets[0].getsockname())
-    client = leaf_client.LeafClient(address, 1, _CLOCK, 1)
-    tracemalloc.start()
-    try:
+    async with _client_of(_EndlessLeaf(_HEADS[kind])) as client:
         assert await client.health() is None
-        _, peak = tracemalloc.get_traced_memory()
-    finally:
-        tracemalloc.stop()
-    assert peak < 2 * _LIMIT
-    await client.close()
-    server.close()
