--- a/src/sassafrashold/front/_server.py
+++ b/src/sassafrashold/front/_server.py
@@ -33,7 +33,7 @@
 # Time to read a body if its caller sends no deadline.
 _DEFAULT_BODY_TIMEOUT = datetime.timedelta(seconds=30)
 _CLIENT_CLOSED_STATUS = 499
-# Time for callers to read the replies to requests that the drain has ended.
+# Time to send the replies to requests that the drain has ended.
 _REPLY_TIME_S = 0.1
 # Time that the HTTP library is given, twice, to end what is left.
 _FLUSH_TIME_S = 0.05
--- a/src/sassafrashold/front/_sourcing.py
+++ b/src/sassafrashold/front/_sourcing.py
@@ -19,7 +19,7 @@
 _LOGGER = logging.getLogger(__name__)
 # A host that hears from none of its sources reads the store, and tries them
 # again at this interval.
-_STORE_FALLBACK_DURATION = datetime.timedelta(seconds=6)
+_SOURCE_RETRY_INTERVAL = datetime.timedelta(seconds=6)
 # A source that is alive answers a poll for changes within 0.8 s. One that is
 # silent for longer is still waited for, but the next one is asked as well, and
 # so on at shorter intervals.
@@ -284,7 +284,7 @@
     async def _wait_for_source(self) -> None:
         """Returns when a source answers or the store is lost as well."""
         while True:
-            await asyncio.sleep(_STORE_FALLBACK_DURATION.total_seconds())
+            await asyncio.sleep(_SOURCE_RETRY_INTERVAL.total_seconds())
             if not self.health.is_confirmed:
                 return
             if self._sources:
