--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,125 +1,88 @@
-"""CONFIG: a host that ran slowly refuses a later route for good."""
+"""REFUSED: a request that has run is answered 503."""
 
 import asyncio
 import collections
 import pathlib
 import random
-import signal
 
 import small_deployment as world
 
-# node_slow: the largest doses of the site files.
-_SLOW_FACTOR = 6.57
-_SLOW_S = 6.6
-_SLOW_TIMES = 9
-_PAUSE_S = 1.6
-# The page: a core that has used up its quota stands still for the rest of
-# a tenth of a second.
-_PERIOD_S = 0.1
-_RATE_IN_TROUBLE = 25
-_RATE = 88
-_MEASURED_S = 8
-_MIN_RATIO = 0.25
-
-
-def _work_s() -> float:
-    """Draws a time with a mean of 0.12 s, as on the sheet."""
-    return min(random.lognormvariate(-2.25, 0.5), 0.72)
-
-
-async def _run_slowly(host: world.EntryHost, seconds: float) -> None:
-    """Makes a process run `_SLOW_FACTOR` times slower for some seconds."""
-    loop = asyncio.get_running_loop()
-    end = loop.time() + seconds
-    while loop.time() < end:
-        host.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(_PERIOD_S * (1 - 1 / _SLOW_FACTOR))
-        host.send_signal(signal.SIGCONT)
-        await asyncio.sleep(_PERIOD_S / _SLOW_FACTOR)
-
-
-async def _load(
-    deployment: world.SmallDeployment, seconds: float, rate: float
-) -> dict[str, float]:
-    """Sends requests on both routes; returns the share served by route."""
-    host, record = deployment.hosts[0], deployment.record
-
-    async def first(caller: world.Caller) -> world.Reply:
-        return await caller.send("/first/q", deadline_ms=1200)
-
-    async def later(caller: world.Caller) -> world.Reply:
-        return await caller.send("/later/q", deadline_ms=2000)
-
-    groups = [
-        [world.Caller(host, record) for _ in range(120)] for _ in range(2)
-    ]
-    replies = await asyncio.gather(
-        world.load(groups[0], seconds, rate / 4, first),
-        world.load(groups[1], seconds, rate, later),
+# srv_grey: a share of the leafs fails a part of its requests; health is good.
+_GREY_LEAFS = 1
+_LEAFS = 7
+_GREY_RATIO = 0.4
+_SECONDS = 12
+_RATE = 20
+_MAX_ATTEMPTS = 3
+_PROMISES = (408, 421, 429, 503)
+
+
+def _fail_after_run(leaf: world.Leaf, request: world.LeafRequest) -> bytes:
+    """Returns a failure of some of the requests, all of which were run."""
+    if random.random() >= _GREY_RATIO:
+        return world.whole_answer(leaf, request)
+    return world.encode_answer(
+        "503 Service Unavailable",
+        request,
+        f"Server-Stamp: {leaf.stamp(request.request_id)}\r\n",
+        b"database connection lost",
     )
-    for caller in (*groups[0], *groups[1]):
-        caller.close()
-    shares = {}
-    for name, group in zip(("first", "later"), replies, strict=True):
-        count_by_status = collections.Counter(reply.status for reply in group)
-        record.conclude(f"  route {name}: {dict(count_by_status)}")
-        shares[name] = count_by_status[200] / len(group)
-    return shares
 
 
 async def _case(record: world.Record, trouble: bool) -> world.Outcome:
-    deployment = world.SmallDeployment(record, ("z1", "z2", "z3"), 8)
-    deployment.add_leafs("paie", 7, 2, _work_s)
-    shards = [f"shard-{number}" for number in range(3)]
-    for shard in shards:
-        deployment.add_leafs(shard, 3, 3, lambda: 0.0225)
+    deployment = world.SmallDeployment(record, ("z1", "z2", "z3"), 3)
+    leafs = deployment.add_leafs("paie", _LEAFS, 2, lambda: 0.05)
     deployment.routes.append(
         world.route(
-            "first",
-            "/first/",
-            gather=shards,
-            top_k=5,
-            min_shard_fraction=0.6,
-            timeout_ms=1200,
-            target_latency_ms=145,
+            "once", "/once/", service="paie", type="non_idempotent", attempts=1
         )
     )
-    async with deployment:
-        deployment.routes.append(
-            world.route(
-                "later", "/later/", service="paie", target_latency_ms=120
+    if trouble:
+        for leaf in leafs[:_GREY_LEAFS]:
+            leaf.answer = _fail_after_run
+    orders = iter(range(10**6))
+    order_by_request: dict[str, int] = {}
+
+    async def send(caller: world.Caller) -> world.Reply:
+        """Sends an order; again after a promise that it hasn't run."""
+        order = next(orders)
+        for _ in range(_MAX_ATTEMPTS):
+            reply = await caller.send(
+                "/once/order", method="POST", body=b"%d" % order
             )
-        )
-        await deployment.publish()
-        await asyncio.sleep(9)
-        record.conclude("before:")
-        before = await _load(deployment, 4, _RATE)
-        assert before["later"] > 0.9, "the healthy host must bear the load"
-        record.conclude(f"front-00 slow: {trouble}")
-        for _ in range(_SLOW_TIMES):
-            tasks = [
-                asyncio.create_task(
-                    _load(deployment, _SLOW_S, _RATE_IN_TROUBLE)
-                )
-            ]
-            if trouble:
-                tasks.append(
-                    asyncio.create_task(
-                        _run_slowly(deployment.hosts[0], _SLOW_S)
-                    )
-                )
-            await asyncio.gather(*tasks)
-            await asyncio.sleep(_PAUSE_S)
-        await asyncio.sleep(world.STABLE_WINDOW_S)
-        record.conclude("after, in steady state:")
-        after = await _load(deployment, _MEASURED_S, _RATE)
-        record.conclude(
-            f"share served: {after}; the later route must get at least "
-            f"{_MIN_RATIO} of the first one's"
-        )
-        if after["later"] < _MIN_RATIO * after["first"]:
-            return world.Outcome.BROKEN
-        return world.Outcome.HELD
+            order_by_request[reply.request_id] = order
+            replies.append(reply)
+            if reply.status not in _PROMISES:
+                break
+        return reply
+
+    replies: list[world.Reply] = []
+    async with deployment:
+        callers = [
+            world.Caller(host, record)
+            for host in deployment.hosts
+            for _ in range(10)
+        ]
+        await world.load(callers, _SECONDS, _RATE, send)
+        await asyncio.sleep(1)
+    run_ids = {run_id for leaf in leafs for run_id in leaf.run_ids}
+    refused = [
+        reply
+        for reply in replies
+        if reply.status in _PROMISES and reply.request_id in run_ids
+    ]
+    for reply in refused:
+        record.add(f"answered {reply.status} and has run: {reply.request_id}")
+    runs_by_order = collections.Counter(
+        order_by_request[run_id] for run_id in run_ids
+    )
+    record.conclude(
+        f"{len(replies)} attempts, statuses "
+        f"{dict(collections.Counter(reply.status for reply in replies))}; "
+        f"{len(refused)} were answered that they had not run, and had; "
+        f"{sum(runs > 1 for runs in runs_by_order.values())} orders ran twice"
+    )
+    return world.Outcome.BROKEN if refused else world.Outcome.HELD
 
 
 world.run_case(pathlib.Path(__file__).parent, _case)
