--- a/src/sassafrashold/standins/records_leaf.py
+++ b/src/sassafrashold/standins/records_leaf.py
@@ -55,6 +55,7 @@
     Faults are set by the owner: `work` is how long a request takes,
     `lose_answers` resets connections after the run, `reject` runs nothing,
     `answer_fault` spoils the bytes of answers after the run,
+    `padding_bytes` makes answers longer,
     `listed_address` is the address of a proxy in front of the leaf.
     """
 
@@ -73,6 +74,7 @@
         self.lose_answers = False
         self.reject = False
         self.answer_fault: AnswerFault | None = None
+        self.padding_bytes = 0
         self.runs: list[Run] = []
         self.cancelled = 0
         self.address = ""
@@ -152,7 +154,7 @@
                 transport.abort()
             await self._spoil_answer(transport, request_id)
         return web.Response(
-            body=self.records(request_id),
+            body=self.records(request_id) + bytes(self.padding_bytes),
             headers={
                 "Request-Id": request_id,
                 "Server-Stamp": self.signature(request_id),
--- a/tests/platform/platform_harness.py
+++ b/tests/platform/platform_harness.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Mapping
 import datetime
 import hashlib
 import os
@@ -52,6 +53,7 @@
         store: str,
         seeds: list[str],
         zone: str = "z1",
+        host_limits: Mapping[str, int] | None = None,
     ) -> None:
         self.name = name
         self.control_address = f"127.0.0.1:{ports.free_port()}"
@@ -79,6 +81,10 @@
                     "bounds.cold_burst_factor=1.5",
                     "bounds.cold_slack=5",
                     f"platform.address={store}",
+                    *(
+                        f"limits.{limit}={value}"
+                        for limit, value in (host_limits or {}).items()
+                    ),
                 )
             ),
             encoding="utf-8",
@@ -132,11 +138,27 @@
     """
 
     def __init__(
-        self, folder: pathlib.Path, fronts: int = 1, proxied: bool = False
+        self,
+        folder: pathlib.Path,
+        fronts: int = 1,
+        proxied: bool = False,
+        host_limits: Mapping[str, int] | None = None,
+        max_body_bytes: int = 1000,
     ) -> None:
+        """Initializes the harness.
+
+        Args:
+            folder: Where settings and logs are written.
+            fronts: Number of front processes.
+            proxied: Whether proxies stand before the store and the leafs.
+            host_limits: Fields under `limits` in the settings of each front.
+            max_body_bytes: Largest body that the configuration allows.
+        """
         self._folder = folder
         self._front_count = fronts
         self._proxied = proxied
+        self._host_limits = host_limits
+        self._max_body_bytes = max_body_bytes
         self.links: list[_proxy.Link] = []
         self.store = objects_store.ObjectsStore()
         self.leafs = [
@@ -190,6 +212,7 @@
                 f"h{number}",
                 store,
                 [other.control_address for other in self.fronts],
+                host_limits=self._host_limits,
             )
             self.fronts.append(front)
             front.start()
@@ -260,7 +283,7 @@
                 ],
                 "limits": {
                     "max_header_bytes": 16384,
-                    "max_body_bytes": 1000,
+                    "max_body_bytes": self._max_body_bytes,
                     "header_timeout_ms": 3000,
                     "idle_timeout_ms": 15000,
                 },
