Bound the bytes of requests that callers make a host keep

Callers saw: no host, or none that answers. Behind an open request the library keeps up to 32 requests as objects, their bodies, and a copy of the bytes for each that can't be read.

Change: the connection counts what it receives, in pieces of 4 KiB. A head over twice max_header_bytes and 4 KiB, empty lines before it included, gets 431 before its end. Bytes behind a request wait until it is answered, and reading stops over 32 KiB of them. ClientMemory counts all connections in one place, by bytes, and over a quarter of memory_mb closes those that have held most for longest, those whose request is served last. Bytes that are no request are answered 400 without a traceback in the log; a new counter has the causes of refusals.

Why it works: no byte is parsed that is not counted, and the parser never holds more than one head that is not served.

--- a/src/sassafrashold/front/_daemon.py
+++ b/src/sassafrashold/front/_daemon.py
@@ -19,6 +19,8 @@
 from sassafrashold import sockets
 from sassafrashold import telemetry
 from sassafrashold.front import _aggregation
+from sassafrashold.front import _caller_connection
+from sassafrashold.front import _client_memory
 from sassafrashold.front import _gathering
 from sassafrashold.front import _health_sharing
 from sassafrashold.front import _interfaces
@@ -52,9 +54,16 @@
 _RELISTING_TIME = datetime.timedelta(seconds=2)
 _LISTEN_BACKLOG = 64
 # Before the first configuration is known.
-_MAX_BODY_BYTES_UNCONFIGURED = 2**20
+_UNCONFIGURED_LIMITS = routing.ClientLimits(
+    max_header_bytes=2**16,
+    max_body_bytes=2**20,
+    header_timeout=datetime.timedelta(seconds=30),
+    idle_timeout=datetime.timedelta(seconds=30),
+)
 # Leafs pause often, so the log lines about avoided leafs are rate limited.
 _MAX_AVOIDED_LEAF_LINES_PER_SECOND = 5
+# A crowd of clients over a limit must not fill the log.
+_MAX_CLIENT_LINES_PER_SECOND = 5
 
 
 class Daemon:
@@ -112,6 +121,9 @@
         self._avoided_leaf_log_budget = telemetry.LineBudget(
             _MAX_AVOIDED_LEAF_LINES_PER_SECOND, clock
         )
+        self._client_log_budget = telemetry.LineBudget(
+            _MAX_CLIENT_LINES_PER_SECOND, clock
+        )
         self._pool = _leaf_pool.LeafPool(
             protocol, clock, values.max_answer_bytes
         )
@@ -126,11 +138,20 @@
             clock,
             self._view_complete,
         )
+        self._client_memory = _client_memory.ClientMemory(
+            values.max_client_bytes, clock
+        )
         self._server = _server.CallerServer(
             self._requests,
             protocol,
             _request_bodies.RequestBodies(
-                values.max_request_bytes, self._max_body_bytes
+                values.max_request_bytes,
+                lambda: self._client_limits().max_body_bytes,
+            ),
+            _caller_connection.ConnectionLimits(
+                memory=self._client_memory,
+                max_header_bytes=lambda: self._client_limits().max_header_bytes,
+                on_refusal=self._note_caller_refusal,
             ),
             self._metrics,
             self._log,
@@ -286,9 +307,7 @@
             await asyncio.sleep(_HOUSEKEEPING_INTERVAL.total_seconds())
             self._view.forget_expired()
             self._pool.close_idle(self._idle_limit)
-            current = self._table.current
-            if current is not None:
-                self._server.close_overdue(current.client_limits)
+            self._server.close_overdue(self._client_limits())
 
     def _log_avoided_leaf(
         self, ref: directory_lib.LeafRef, strikes: int
@@ -306,11 +325,27 @@
             return 0
         return self._state.connections(entry.service, ref.leaf_id)
 
-    def _max_body_bytes(self) -> int:
+    def _client_limits(self) -> routing.ClientLimits:
         current = self._table.current
-        if current is None:
-            return _MAX_BODY_BYTES_UNCONFIGURED
-        return current.client_limits.max_body_bytes
+        return (
+            _UNCONFIGURED_LIMITS if current is None else current.client_limits
+        )
+
+    def _note_caller_refusal(self, refusal: _caller_connection.Refusal) -> None:
+        if refusal is _caller_connection.Refusal.HEAD_TOO_LARGE:
+            self._metrics.count_request(
+                431,
+                _requests.Cause.HEAD_TOO_LARGE.value,
+                datetime.timedelta(),
+                0,
+            )
+        self._note_refusal(refusal)
+
+    def _note_refusal(self, refusal: _caller_connection.Refusal) -> None:
+        self._metrics.count_refusal(refusal.value)
+        self._client_log_budget.info(
+            _LOGGER, refusal.value, "client refused", {"cause": refusal.value}
+        )
 
     def _update_live_hosts(self, peers: tuple[relay.Peer, ...]) -> None:
         zone_hosts = [peer for peer in peers if peer.zone == self._values.zone]
--- a/src/sassafrashold/front/_metrics.py
+++ b/src/sassafrashold/front/_metrics.py
@@ -50,6 +50,12 @@
             "Connections of callers closed by the configured limits.",
             registry=self._registry,
         )
+        self._refusals = prometheus_client.Counter(
+            "sassafras_clients_refused",
+            "Clients refused for what they sent or held, on all ports.",
+            ("cause",),
+            registry=self._registry,
+        )
         self._gauges = {
             name: prometheus_client.Gauge(
                 name, description, registry=self._registry
@@ -98,6 +104,10 @@
         """Counts caller connections that were closed by a configured limit."""
         self._closed_connections.inc(count)
 
+    def count_refusal(self, cause: str) -> None:
+        """Counts a client that was refused for what it sent or held."""
+        self._refusals.labels(cause).inc()
+
     def set_gauge(self, name: str, value: float) -> None:
         """Sets a gauge.
 
--- a/src/sassafrashold/front/_server.py
+++ b/src/sassafrashold/front/_server.py
@@ -6,8 +6,6 @@
 import datetime
 import logging
 import socket
-from typing import Any
-from typing import cast
 
 from aiohttp import web
 
@@ -23,11 +21,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 _BACKLOG = 1024
-# Idle timeout that aiohttp enforces; `close_overdue` enforces the configured
-# one.
-_MAX_KEEP_ALIVE_S = 3600.0
-_MAX_HEAD_BYTES = 65536
-_MAX_HEADERS = 256
 # Retry-After while the bodies of open requests fill their memory.
 _BODIES_FULL_RETRY_DELAY = datetime.timedelta(seconds=1)
 # Time to read a body if its caller sends no deadline.
@@ -47,6 +40,7 @@
         requests: _requests.RequestServer,
         protocol: _interfaces.WireProtocol,
         bodies: _request_bodies.RequestBodies,
+        connection_limits: _caller_connection.ConnectionLimits,
         metrics: _metrics.FrontMetrics,
         log: _request_log.RequestLog,
         clock: clock_lib.Clock,
@@ -58,6 +52,7 @@
             requests: Serves the requests.
             protocol: Wire format of requests.
             bodies: Bounds on the bodies of requests.
+            connection_limits: Limits on what connections hold.
             metrics: Counts requests and closed connections.
             log: Logs how requests ended.
             clock: The clock.
@@ -68,6 +63,7 @@
         self._requests = requests
         self._protocol = protocol
         self._bodies = bodies
+        self._connection_limits = connection_limits
         self._metrics = metrics
         self._log = log
         self._clock = clock
@@ -89,13 +85,7 @@
         """
         self._server = _caller_connection.ConnectionServer(
             self._handle,
-            request_factory=_create_request,
-            handler_cancellation=True,
-            keepalive_timeout=_MAX_KEEP_ALIVE_S,
-            max_line_size=_MAX_HEAD_BYTES,
-            max_field_size=_MAX_HEAD_BYTES,
-            max_headers=_MAX_HEADERS,
-            access_log=None,
+            self._connection_limits,
             auto_decompress=False,
         )
         self._runner = web.ServerRunner(self._server)
@@ -191,9 +181,6 @@
                 return self._to_response(reply)
         finally:
             self.open_requests -= 1
-            cast(
-                _caller_connection.CallerConnection, message.protocol
-            ).request_ended()
             self._record_end(request, reply, arrived_at)
 
     async def _reply(
@@ -278,18 +265,3 @@
             status, cause.value if cause else "", duration, missing
         )
         self._log.log_end(request, reply, duration)
-
-
-def _create_request(
-    message: Any, payload: Any, protocol: Any, writer: Any, task: Any
-) -> web.BaseRequest:
-    """Creates an aiohttp request and tells its connection that it began."""
-    protocol.request_began()
-    return web.BaseRequest(
-        message,
-        payload,
-        protocol,
-        writer,
-        task,
-        asyncio.get_running_loop(),
-    )
--- a/src/sassafrashold/front/_settings.py
+++ b/src/sassafrashold/front/_settings.py
@@ -34,6 +34,9 @@
     max_request_bytes: int
     """Maximum size of the bodies of all open requests of callers."""
 
+    max_client_bytes: int
+    """Maximum memory of the connections of all clients, with their requests."""
+
     bootstrap: bool
     """Whether this is the first start of the whole system."""
 
--- a/src/sassafrashold/front/tests/caller_server.py
+++ b/src/sassafrashold/front/tests/caller_server.py
@@ -8,6 +8,8 @@
 from sassafrashold import routing
 from sassafrashold import settings
 from sassafrashold import sockets
+from sassafrashold.front import _caller_connection
+from sassafrashold.front import _client_memory
 from sassafrashold.front import _metrics
 from sassafrashold.front import _request_bodies
 from sassafrashold.front import _request_log
@@ -36,11 +38,19 @@
 class RunningServer:
     """An asynchronous context manager around a `CallerServer`."""
 
-    def __init__(self, requests=None, max_request_bytes=10_000):
+    def __init__(
+        self,
+        requests=None,
+        max_request_bytes=10_000,
+        max_client_bytes=10**8,
+    ):
         self._requests: Any = requests or EchoRequestServer()
         self.bodies = _request_bodies.RequestBodies(
             max_request_bytes, lambda: LIMITS.max_body_bytes
         )
+        self.memory = _client_memory.ClientMemory(
+            max_client_bytes, clock_lib.SystemClock()
+        )
 
     async def __aenter__(self):
         clock = clock_lib.SystemClock()
@@ -48,6 +58,10 @@
             self._requests,
             wire,
             self.bodies,
+            _caller_connection.ConnectionLimits(
+                memory=self.memory,
+                max_header_bytes=lambda: LIMITS.max_header_bytes,
+            ),
             _metrics.FrontMetrics(),
             _request_log.RequestLog(clock),
             clock,
--- /dev/null
+++ b/src/sassafrashold/front/tests/test_client_memory.py
@@ -0,0 +1,165 @@
+"""Guards against clients that exceed the memory or descriptors of a host.
+
+Tests which connections are closed for room, and that requests inside the limits
+are served whatever is held for other clients.
+"""
+
+import asyncio
+
+import pytest
+
+from sassafrashold import clock as clock_lib
+from sassafrashold.front import _client_memory
+from sassafrashold.front import _requests
+from sassafrashold.front.tests import caller_server
+
+S = caller_server.S
+_GET = b"GET /a HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\n"
+_POST = b"POST /a HTTP/1.1\r\nHost: h\r\n"
+
+
+class _Connection:
+    def __init__(self, is_served=False):
+        self.is_served = is_served
+        self.given_up = False
+
+    def give_up(self):
+        self.given_up = True
+
+
+@pytest.mark.parametrize(
+    ("holdings", "given_up"),
+    [
+        # Age in seconds, size, whether a request is served.
+        ([(0, 60, False), (0, 40, False)], []),
+        ([(0, 60, False), (0, 41, False)], [0]),
+        ([(9, 30, False), (0, 71, False)], [0]),
+        ([(9, 1, False), (1, 90, False), (0, 10, False)], [1]),
+        ([(9, 60, True), (0, 41, False)], [1]),
+        ([(9, 60, True), (0, 60, True)], [0]),
+        ([(9, 6, False), (8, 6, False), (0, 89, False)], [0, 1]),
+    ],
+)
+def test_connections_that_hold_most_for_longest_are_closed(holdings, given_up):
+    clock = clock_lib.ManualClock()
+    memory = _client_memory.ClientMemory(100, clock)
+    connections = [_Connection(served) for _, _, served in holdings]
+    oldest = max(age for age, _, _ in holdings)
+    in_order = sorted(range(len(holdings)), key=lambda n: -holdings[n][0])
+    elapsed = 0
+    for number in in_order:
+        age, size, _ = holdings[number]
+        clock.advance((oldest - age - elapsed) * S)
+        elapsed = oldest - age
+        memory.hold(connections[number], size)
+    assert [n for n, c in enumerate(connections) if c.given_up] == given_up
+    assert memory.total <= 100
+
+
+def test_released_connections_are_not_counted():
+    memory = _client_memory.ClientMemory(100, clock_lib.ManualClock())
+    first, second = _Connection(), _Connection()
+    memory.hold(first, 60)
+    memory.hold(first, 50)
+    memory.hold(second, 50)
+    assert memory.total == 100
+    memory.release(first)
+    memory.release(first)
+    assert memory.total == 50
+    assert not first.given_up
+
+
+def test_age_counts_from_the_current_step():
+    clock = clock_lib.ManualClock()
+    memory = _client_memory.ClientMemory(100, clock)
+    kept, slow = _Connection(), _Connection()
+    memory.hold(kept, 50)
+    clock.advance(9 * S)
+    memory.hold(slow, 40)
+    clock.advance(2 * S)
+    memory.restart_age(kept)
+    clock.advance(1 * S)
+    memory.hold(kept, 61)
+    assert (kept.given_up, slow.given_up) == (False, True)
+
+
+async def test_head_over_the_limit_is_refused_before_its_end():
+    async with caller_server.RunningServer() as server:
+        reader, writer = await server.connect()
+        writer.write(_GET + b"x: " + b"a" * 9000)
+        data = await asyncio.wait_for(reader.read(), 5)
+        assert data.startswith(b"HTTP/1.1 431")
+        assert data.endswith(b"\r\n\r\n")
+
+
+async def test_large_head_within_the_limit_is_served():
+    # Framing and request line don't count.
+    head = _GET + b"".join(b"x%02d: \r\n" % n for n in range(100)) + b"\r\n"
+    async with caller_server.RunningServer() as server:
+        reader, writer = await server.connect()
+        writer.write(head)
+        answer = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2)
+        assert answer.startswith(b"HTTP/1.1 200")
+
+
+async def test_head_on_a_kept_connection_has_the_whole_limit():
+    head = _GET + b"x: " + b"a" * 900 + b"\r\n\r\n"
+    async with caller_server.RunningServer() as server:
+        reader, writer = await server.connect()
+        for _ in range(20):
+            writer.write(head)
+            answer = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2)
+            assert answer.startswith(b"HTTP/1.1 200")
+
+
+class _HeldRequestServer(caller_server.EchoRequestServer):
+    """Replies once it is told to."""
+
+    def __init__(self, body=b""):
+        self.began = 0
+        self.go_on = asyncio.Event()
+        self._body = body
+
+    async def serve(self, request):
+        self.began += 1
+        await self.go_on.wait()
+        return _requests.Reply(200, (), self._body or request.body)
+
+
+async def test_requests_behind_an_open_one_are_answered_in_order():
+    requests = _HeldRequestServer()
+    async with caller_server.RunningServer(requests) as server:
+        reader, writer = await server.connect()
+        bodies = [b"%04d" % n + b"x" * 900 for n in range(100)]
+        for body in bodies:
+            writer.write(_POST + b"Content-Length: 904\r\n\r\n" + body)
+        await asyncio.sleep(0.1)
+        assert requests.began == 1
+        assert server.memory.total < 10**6
+        requests.go_on.set()
+        for body in bodies:
+            await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2)
+            assert await reader.readexactly(904) == body
+
+
+async def test_request_behind_a_declined_upgrade_is_served():
+    async with caller_server.RunningServer() as server:
+        reader, writer = await server.connect()
+        upgrade = b"Connection: Upgrade\r\nUpgrade: websocket\r\n\r\n"
+        writer.write(_GET + upgrade)
+        writer.write(_POST + b"Content-Length: 900\r\n\r\n" + b"b" * 900)
+        for size in (0, 900):
+            await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2)
+            assert await reader.readexactly(size) == b"b" * size
+
+
+async def test_close_behind_an_open_request_is_noticed():
+    requests = _HeldRequestServer()
+    async with caller_server.RunningServer(requests) as server:
+        _, writer = await server.connect()
+        writer.write((_GET + b"\r\n") * 20)
+        await asyncio.sleep(0.05)
+        writer.transport.abort()
+        await asyncio.sleep(0.05)
+        assert server.server.connections == 0
+        assert server.memory.total == 0
--- a/src/sassafrashold/platform/process.py
+++ b/src/sassafrashold/platform/process.py
@@ -23,6 +23,9 @@
 # Part of the memory of a host for leaf answers that are being received; the
 # process itself takes up to 60 MB.
 _ANSWER_MEMORY_RATIO = 0.25
+# Part of it for the connections of clients on all ports, with their requests
+# and replies.
+_CLIENT_MEMORY_RATIO = 0.25
 # A body is copied for each leaf that it is sent to.
 _REQUEST_MEMORY_RATIO = 0.125
 # If the platform sets no limit.
@@ -50,6 +53,7 @@
         link_mbps=values.link_mbps,
         max_answer_bytes=_memory_part(memory_mb, _ANSWER_MEMORY_RATIO),
         max_request_bytes=_memory_part(memory_mb, _REQUEST_MEMORY_RATIO),
+        max_client_bytes=_memory_part(memory_mb, _CLIENT_MEMORY_RATIO),
         bootstrap=values.bootstrap,
         metrics_address=metrics if metrics_port else None,
         leaf_drain_time=values.bounds.drain,
