Bound the replies that callers have not read

Callers saw: no host, or none that answers. A reply was passed to the connection as a whole, which copied it, and was kept by the HTTP library until the next request on that connection ended. Nothing counted it: 100 callers that did not read answers of 4 MB took 582 MB.

Change: replies are counted among what clients hold until the kernel has taken all their bytes, large ones are written in pieces of 256 KiB, and the library's reference is dropped. The next request on the connection is parsed only then. A caller that takes no byte of its reply for 30 s is closed; over the limit the replies that have waited longest go first. A drain ends connections once their reply has been sent.

Why it works: whatever is not read is in the count, once, and the count has a limit.

--- a/src/sassafrashold/front/_caller_connection.py
+++ b/src/sassafrashold/front/_caller_connection.py
@@ -6,6 +6,7 @@
 import dataclasses
 import datetime
 import enum
+import io
 from typing import Any
 from typing import cast
 
@@ -31,6 +32,11 @@
 # Bytes given to the parser at once: it does not say where in them a request
 # ended, so what is counted is exact up to this size.
 _PIECE_BYTES = 4096
+# A client that takes no byte of its reply for this long no longer waits for it;
+# deadlines of requests are shorter.
+_REPLY_STALL_TIMEOUT = datetime.timedelta(seconds=30)
+# Larger replies are written in pieces, each when the one before was sent.
+_REPLY_PIECE_BYTES = 256 * 1024
 # Bytes behind an open request for which reading goes on: only a connection that
 # is read shows that its client has left.
 _MAX_UNPARSED_BYTES = 32 * 1024
@@ -71,7 +77,18 @@
     """A request head was read and the request is not answered yet."""
 
 
-Phase = IdlePhase | HeadPhase | RequestPhase
+@dataclasses.dataclass(frozen=True)
+class ReplyPhase:
+    """A reply is being sent."""
+
+    since: datetime.timedelta
+    """Event loop time at which the client last took bytes of it."""
+
+    unsent: int
+    """Bytes that waited for the client at that time."""
+
+
+Phase = IdlePhase | HeadPhase | RequestPhase | ReplyPhase
 
 
 def is_overdue(
@@ -91,6 +108,8 @@
             time_limit = limits.header_timeout
         case RequestPhase():
             return False
+        case ReplyPhase(since):
+            time_limit = _REPLY_STALL_TIMEOUT
     return _ZERO < time_limit <= now - since
 
 
@@ -143,6 +162,7 @@
         # Bytes behind that request.
         self._unparsed = bytearray()
         self._is_parsing = False
+        self._reply_memory = 0
         self._refused = False
 
     @property
@@ -158,12 +178,15 @@
     def _awaits_reply(self) -> bool:
         """Whether a complete request has not been answered yet."""
         return bool(self._messages) or (
-            isinstance(self.phase, RequestPhase) and not self._receives_body
+            isinstance(self.phase, RequestPhase | ReplyPhase)
+            and not self._receives_body
         )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begins to count the memory of the connection."""
         super().connection_made(transport)
+        # A reply ends once all its bytes were passed to the kernel.
+        cast(asyncio.Transport, transport).set_write_buffer_limits(high=0)
         self._update_memory()
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -256,7 +279,12 @@
 
     @property
     def _memory(self) -> int:
-        return _CONNECTION_BYTES + self._head_memory + len(self._unparsed)
+        return (
+            _CONNECTION_BYTES
+            + self._head_memory
+            + len(self._unparsed)
+            + self._reply_memory
+        )
 
     def give_up(self) -> None:
         """Closes the connection at once, as clients hold too much memory."""
@@ -292,13 +320,23 @@
         start_time: float | None,
     ) -> tuple[web.StreamResponse, bool]:
         """Sends the reply, then goes on with the bytes behind the request."""
-        result = await super().finish_response(request, resp, start_time)
-        self._enter(IdlePhase(self._now()))
-        if self._server.closes_idle:
-            self.close()
-        elif resp.keep_alive:
-            self._parse_received()
-        return result
+        body_size = _hold_in_pieces(resp)
+        self._enter(ReplyPhase(self._now(), body_size))
+        # The piece that is being sent is a copy.
+        self._reply_memory = body_size + min(body_size, 2 * _REPLY_PIECE_BYTES)
+        self._update_memory()
+        try:
+            return await super().finish_response(request, resp, start_time)
+        finally:
+            if isinstance(resp, web.Response):
+                # aiohttp keeps the reply until the next one.
+                resp.body = None
+            self._reply_memory = 0
+            self._enter(IdlePhase(self._now()))
+            if self._server.closes_idle:
+                self.close()
+            elif resp.keep_alive:
+                self._parse_received()
 
     def handle_error(
         self,
@@ -318,10 +356,33 @@
         response.force_close()
         return response
 
+    def note_reply_progress(self) -> None:
+        """Notes whether the client has taken bytes of its reply."""
+        if self.transport is None or not isinstance(self.phase, ReplyPhase):
+            return
+        unsent = self.transport.get_write_buffer_size()
+        if unsent != self.phase.unsent:
+            self.phase = ReplyPhase(self._now(), unsent)
+
     def _now(self) -> datetime.timedelta:
         return datetime.timedelta(seconds=self._event_loop.time())
 
 
+def _hold_in_pieces(response: web.StreamResponse) -> int:
+    """Makes a large reply be written in pieces; returns the size of its body.
+
+    aiohttp passes a reply to the connection at once, which copies it.
+    """
+    if not isinstance(response, web.Response):
+        return 0
+    body = response.body
+    if not isinstance(body, bytes):
+        return 0
+    if len(body) > _REPLY_PIECE_BYTES:
+        response.body = io.BytesIO(body)
+    return len(body)
+
+
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
@@ -409,10 +470,15 @@
         now = datetime.timedelta(seconds=asyncio.get_running_loop().time())
         closed = 0
         for connection in list(self._open):
+            connection.note_reply_progress()
             if not is_overdue(connection.phase, limits, now):
                 continue
             closed += 1
-            connection.force_close()
+            if isinstance(connection.phase, ReplyPhase):
+                # Its unsent bytes would keep the connection open.
+                connection.abort()
+            else:
+                connection.force_close()
         return closed
 
 
--- a/src/sassafrashold/front/tests/test_client_memory.py
+++ b/src/sassafrashold/front/tests/test_client_memory.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import contextlib
+import datetime
 
 import pytest
 
@@ -163,3 +165,76 @@
         await asyncio.sleep(0.05)
         assert server.server.connections == 0
         assert server.memory.total == 0
+
+
+async def test_reply_that_is_not_read_holds_its_size_until_it_stalls():
+    reply_bytes = 10 * 2**20
+    requests = _HeldRequestServer(b"a" * reply_bytes)
+    requests.go_on.set()
+    async with caller_server.RunningServer(requests) as server:
+        reader, writer = await server.connect()
+        writer.write(_GET + b"\r\n")
+        await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2)
+        assert reply_bytes < server.memory.total < 1.2 * reply_bytes
+        data = await asyncio.wait_for(reader.readexactly(reply_bytes), 10)
+        assert data == b"a" * reply_bytes
+        await asyncio.sleep(0.05)
+        assert server.memory.total < 10**5
+
+
+async def test_unread_replies_are_dropped_for_other_clients():
+    requests = _HeldRequestServer(b"a" * 8 * 2**20)
+    requests.go_on.set()
+    async with caller_server.RunningServer(
+        requests, max_client_bytes=20 * 2**20
+    ) as server:
+        slow = []
+        for _ in range(6):
+            reader, writer = await server.connect()
+            writer.write(_GET + b"\r\n")
+            await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2)
+            slow.append(reader)
+            assert server.memory.total <= 20 * 2**20
+        reader, writer = await server.connect()
+        writer.write(_GET + b"\r\n")
+        await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2)
+        assert len(await reader.readexactly(8 * 2**20)) == 8 * 2**20
+        dropped = 0
+        with contextlib.suppress(ConnectionError):
+            while data := await asyncio.wait_for(slow[0].read(2**16), 2):
+                dropped += len(data)
+        assert dropped < 8 * 2**20
+
+
+async def test_client_that_takes_no_byte_of_its_reply_is_closed(monkeypatch):
+    monkeypatch.setattr(
+        "sassafrashold.front._caller_connection._REPLY_STALL_TIMEOUT",
+        datetime.timedelta(milliseconds=50),
+    )
+    requests = _HeldRequestServer(b"a" * 10 * 2**20)
+    requests.go_on.set()
+    async with caller_server.RunningServer(requests) as server:
+        reader, writer = await server.connect()
+        writer.write(_GET + b"\r\n")
+        await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2)
+        async with asyncio.timeout(5):
+            while server.server.connections:
+                server.close_overdue()
+                await asyncio.sleep(0.1)
+
+
+async def test_drain_ends_connections_whose_reply_is_being_sent():
+    requests = _HeldRequestServer(b"a" * 10 * 2**20)
+    requests.go_on.set()
+    async with caller_server.RunningServer(requests) as server:
+        reader, writer = await server.connect()
+        writer.write(_GET + b"\r\n")
+        await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2)
+        clock = clock_lib.SystemClock()
+        server.server.drain(clock.monotonic() + 5 * S)
+        closing = asyncio.create_task(server.server.close())
+        data = await asyncio.wait_for(reader.read(), 4)
+        while not reader.at_eof():
+            data += await asyncio.wait_for(reader.read(), 4)
+        assert len(data) == 10 * 2**20
+        await asyncio.wait_for(closing, 1)
