Bound heads on the ports for readiness, metrics and other hosts

Callers saw: a host that ended. These ports ran the HTTP library with its own defaults: 128 lines of 8 KiB a head, no time limit on a head for an hour, no count of what is held. 100 clients with heads of 960 KB took 229 MB on each of them.

--- a/src/sassafrashold/front/_daemon.py
+++ b/src/sassafrashold/front/_daemon.py
@@ -16,6 +16,7 @@
 from sassafrashold import directory as directory_lib
 from sassafrashold import relay
 from sassafrashold import routing
+from sassafrashold import settings
 from sassafrashold import sockets
 from sassafrashold import telemetry
 from sassafrashold.front import _aggregation
@@ -60,6 +61,14 @@
     header_timeout=datetime.timedelta(seconds=30),
     idle_timeout=datetime.timedelta(seconds=30),
 )
+# On the ports for readiness, metrics and other hosts. Connections to other
+# hosts are kept for less than this idle time by those.
+_INTERNAL_LIMITS = routing.ClientLimits(
+    max_header_bytes=2**14,
+    max_body_bytes=2**20,
+    header_timeout=datetime.timedelta(seconds=10),
+    idle_timeout=datetime.timedelta(seconds=30),
+)
 # Leafs pause often, so the log lines about avoided leafs are rate limited.
 _MAX_AVOIDED_LEAF_LINES_PER_SECOND = 5
 # A crowd of clients over a limit must not fill the log.
@@ -138,6 +147,7 @@
             clock,
             self._view_complete,
         )
+        self._internal_servers: list[_caller_connection.ConnectionServer] = []
         self._client_memory = _client_memory.ClientMemory(
             values.max_client_bytes, clock
         )
@@ -308,6 +318,8 @@
             self._view.forget_expired()
             self._pool.close_idle(self._idle_limit)
             self._server.close_overdue(self._client_limits())
+            for server in self._internal_servers:
+                server.close_overdue(_INTERNAL_LIMITS)
 
     def _log_avoided_leaf(
         self, ref: directory_lib.LeafRef, strikes: int
@@ -379,8 +391,8 @@
                 return await self._aggregation_server.handle(request)
             return await self._peer_server.handle(request)
 
-        address = self._values.peer_address
-        return await _listen(handle, address.ip, address.port)
+        runner = await self._set_up_runner(handle)
+        return await _listen(runner, self._values.peer_address)
 
     async def _serve_readiness(self) -> web.ServerRunner:
         async def handle(request: web.BaseRequest) -> web.Response:
@@ -388,7 +400,7 @@
                 return web.Response(status=404)
             return web.Response(status=200 if self.is_ready else 503)
 
-        runner = await _set_up_runner(handle)
+        runner = await self._set_up_runner(handle)
         await web.SockSite(
             runner, self._listeners.readiness, backlog=_LISTEN_BACKLOG
         ).start()
@@ -404,7 +416,25 @@
 
         address = self._values.metrics_address
         assert address is not None
-        return await _listen(handle, address.ip, address.port)
+        runner = await self._set_up_runner(handle)
+        return await _listen(runner, address)
+
+    async def _set_up_runner(
+        self, handler: _caller_connection.Handler
+    ) -> web.ServerRunner:
+        """Sets up the server of a port that callers don't use."""
+        server = _caller_connection.ConnectionServer(
+            handler,
+            _caller_connection.ConnectionLimits(
+                memory=self._client_memory,
+                max_header_bytes=lambda: _INTERNAL_LIMITS.max_header_bytes,
+                on_refusal=self._note_refusal,
+            ),
+        )
+        self._internal_servers.append(server)
+        runner = web.ServerRunner(server)
+        await runner.setup()
+        return runner
 
     def _set_gauges(self) -> None:
         current = self._table.current
@@ -429,15 +459,10 @@
             self._metrics.set_gauge(name, float(value or 0))
 
 
-async def _set_up_runner(handler: Any) -> web.ServerRunner:
-    runner = web.ServerRunner(
-        web.Server(handler, access_log=None, handler_cancellation=True)
-    )
-    await runner.setup()
-    return runner
-
-
-async def _listen(handler: Any, ip: str, port: int) -> web.ServerRunner:
-    runner = await _set_up_runner(handler)
-    await web.TCPSite(runner, ip, port, backlog=_LISTEN_BACKLOG).start()
+async def _listen(
+    runner: web.ServerRunner, address: settings.Address
+) -> web.ServerRunner:
+    await web.TCPSite(
+        runner, address.ip, address.port, backlog=_LISTEN_BACKLOG
+    ).start()
     return runner
