Bound the connections of clients by the descriptors of the host

Callers saw: resets and refusals of all kinds, as a host without descriptors can't call leafs or the store. Nothing limited how many connections clients keep open: 500 that sent nothing took 511 sockets of the 300 that limits.max_fds=500 leaves.

Change: of max_fds less the 200 that the platform sets aside for files, callers get a half, other hosts an eighth, readiness and metrics 32 each; the rest is for leafs and the store. Over the limit of a port, those that have been idle for longest are closed, then incomplete heads, unread replies and incomplete bodies; if all have an open request, the newest.

Why it works: a client whose connection is closed before its request was read may send it again, so none is answered twice or lost.

--- a/src/sassafrashold/front/_caller_connection.py
+++ b/src/sassafrashold/front/_caller_connection.py
@@ -6,6 +6,7 @@
 import dataclasses
 import datetime
 import enum
+import heapq
 import io
 from typing import Any
 from typing import cast
@@ -35,6 +36,9 @@
 # A client that takes no byte of its reply for this long no longer waits for it;
 # deadlines of requests are shorter.
 _REPLY_STALL_TIMEOUT = datetime.timedelta(seconds=30)
+# Part of the connections of a port that are closed at once over the limit, so
+# that the next one doesn't need another pass over all of them.
+_SPARED_RATIO = 0.02
 # Larger replies are written in pieces, each when the one before was sent.
 _REPLY_PIECE_BYTES = 256 * 1024
 # Bytes behind an open request for which reading goes on: only a connection that
@@ -119,6 +123,7 @@
     HEAD_TOO_LARGE = "head_too_large"
     UNREADABLE = "unreadable"
     MEMORY = "memory"
+    CONNECTIONS = "connections"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -131,6 +136,9 @@
     max_header_bytes: Callable[[], int]
     """Returns the maximum size of the headers of a request."""
 
+    max_connections: int
+    """Maximum number of open connections of this port."""
+
     on_refusal: Callable[[Refusal], None] = lambda _: None
     """Called for each refusal."""
 
@@ -152,6 +160,7 @@
         self._server = server
         self._limits = limits
         self.phase: Phase = IdlePhase(self._now())
+        self._phase_began = self._now()
         # Bytes of the head that is being received, with empty lines before it.
         self._head_bytes = 0
         # Memory of that head, or of the last one: aiohttp keeps a request until
@@ -170,6 +179,20 @@
         """Whether a complete request is being served."""
         return isinstance(self.phase, RequestPhase) and not self._receives_body
 
+    @property
+    def spare_rank(self) -> tuple[int, datetime.timedelta]:
+        """Sorts connections by which is closed first for a new one."""
+        match self.phase:
+            case IdlePhase():
+                rank = 0
+            case HeadPhase():
+                rank = 1
+            case ReplyPhase():
+                rank = 2
+            case RequestPhase():
+                rank = 3
+        return rank, self._phase_began
+
     @property
     def _receives_body(self) -> bool:
         return self._body is not None and not self._body.is_eof()
@@ -300,6 +323,7 @@
 
     def _enter(self, phase: Phase) -> None:
         self.phase = phase
+        self._phase_began = self._now()
         self._limits.memory.restart_age(self)
 
     def request_began(self, body: streams.StreamReader) -> None:
@@ -436,7 +460,10 @@
         """Records a connection; called by aiohttp."""
         super().connection_made(handler, transport)
         self.all_closed.clear()
-        self._open[cast(CallerConnection, handler)] = None
+        connection = cast(CallerConnection, handler)
+        self._open[connection] = None
+        if len(self._open) > self._limits.max_connections:
+            self._close_for(connection)
 
     def connection_lost(
         self, handler: web.RequestHandler, exc: BaseException | None = None
@@ -458,6 +485,27 @@
             if isinstance(connection.phase, IdlePhase):
                 connection.force_close()
 
+    def _close_for(self, newest: CallerConnection) -> None:
+        """Closes connections that can be spared for the newest, or that one.
+
+        A client whose connection is closed before its request was read may send
+        the request again.
+        """
+        candidates = [
+            connection
+            for connection in self._open
+            if connection is not newest and not connection.is_served
+        ]
+        spared = heapq.nsmallest(
+            max(1, int(self._limits.max_connections * _SPARED_RATIO)),
+            candidates,
+            key=lambda connection: connection.spare_rank,
+        )
+        for connection in spared or [newest]:
+            self._limits.on_refusal(Refusal.CONNECTIONS)
+            connection.abort()
+            self._open.pop(connection, None)
+
     def close_overdue(self, limits: routing.ClientLimits) -> int:
         """Closes connections that have exceeded the limit of their phase.
 
--- a/src/sassafrashold/front/_daemon.py
+++ b/src/sassafrashold/front/_daemon.py
@@ -69,6 +69,8 @@
     header_timeout=datetime.timedelta(seconds=10),
     idle_timeout=datetime.timedelta(seconds=30),
 )
+# One load balancer and one reader of metrics connect to these ports.
+_MAX_PROBE_CONNECTIONS = 32
 # Leafs pause often, so the log lines about avoided leafs are rate limited.
 _MAX_AVOIDED_LEAF_LINES_PER_SECOND = 5
 # A crowd of clients over a limit must not fill the log.
@@ -161,6 +163,7 @@
             _caller_connection.ConnectionLimits(
                 memory=self._client_memory,
                 max_header_bytes=lambda: self._client_limits().max_header_bytes,
+                max_connections=values.max_caller_connections,
                 on_refusal=self._note_caller_refusal,
             ),
             self._metrics,
@@ -391,7 +394,9 @@
                 return await self._aggregation_server.handle(request)
             return await self._peer_server.handle(request)
 
-        runner = await self._set_up_runner(handle)
+        runner = await self._set_up_runner(
+            handle, self._values.max_peer_connections
+        )
         return await _listen(runner, self._values.peer_address)
 
     async def _serve_readiness(self) -> web.ServerRunner:
@@ -400,7 +405,7 @@
                 return web.Response(status=404)
             return web.Response(status=200 if self.is_ready else 503)
 
-        runner = await self._set_up_runner(handle)
+        runner = await self._set_up_runner(handle, _MAX_PROBE_CONNECTIONS)
         await web.SockSite(
             runner, self._listeners.readiness, backlog=_LISTEN_BACKLOG
         ).start()
@@ -416,11 +421,11 @@
 
         address = self._values.metrics_address
         assert address is not None
-        runner = await self._set_up_runner(handle)
+        runner = await self._set_up_runner(handle, _MAX_PROBE_CONNECTIONS)
         return await _listen(runner, address)
 
     async def _set_up_runner(
-        self, handler: _caller_connection.Handler
+        self, handler: _caller_connection.Handler, max_connections: int
     ) -> web.ServerRunner:
         """Sets up the server of a port that callers don't use."""
         server = _caller_connection.ConnectionServer(
@@ -428,6 +433,7 @@
             _caller_connection.ConnectionLimits(
                 memory=self._client_memory,
                 max_header_bytes=lambda: _INTERNAL_LIMITS.max_header_bytes,
+                max_connections=max_connections,
                 on_refusal=self._note_refusal,
             ),
         )
--- a/src/sassafrashold/front/_settings.py
+++ b/src/sassafrashold/front/_settings.py
@@ -37,6 +37,12 @@
     max_client_bytes: int
     """Maximum memory of the connections of all clients, with their requests."""
 
+    max_caller_connections: int
+    """Maximum number of open connections of callers."""
+
+    max_peer_connections: int
+    """Maximum number of open connections of other hosts."""
+
     bootstrap: bool
     """Whether this is the first start of the whole system."""
 
--- a/src/sassafrashold/front/tests/caller_server.py
+++ b/src/sassafrashold/front/tests/caller_server.py
@@ -43,7 +43,9 @@
         requests=None,
         max_request_bytes=10_000,
         max_client_bytes=10**8,
+        max_connections=1000,
     ):
+        self._max_connections = max_connections
         self._requests: Any = requests or EchoRequestServer()
         self.bodies = _request_bodies.RequestBodies(
             max_request_bytes, lambda: LIMITS.max_body_bytes
@@ -61,6 +63,7 @@
             _caller_connection.ConnectionLimits(
                 memory=self.memory,
                 max_header_bytes=lambda: LIMITS.max_header_bytes,
+                max_connections=self._max_connections,
             ),
             _metrics.FrontMetrics(),
             _request_log.RequestLog(clock),
--- a/src/sassafrashold/front/tests/test_client_memory.py
+++ b/src/sassafrashold/front/tests/test_client_memory.py
@@ -206,6 +206,44 @@
         assert dropped < 8 * 2**20
 
 
+async def test_connections_over_the_limit_close_the_longest_idle():
+    async with caller_server.RunningServer(max_connections=4) as server:
+        idle_reader, _ = await server.connect()
+        await asyncio.sleep(0.02)
+        _, head_writer = await server.connect()
+        head_writer.write(_GET)
+        others = [await server.connect() for _ in range(2)]
+        await asyncio.sleep(0.02)
+        reader, writer = await server.connect()
+        await asyncio.sleep(0.05)
+        with contextlib.suppress(ConnectionError):
+            assert await asyncio.wait_for(idle_reader.read(), 2) == b""
+        for connection in ((reader, writer), *others):
+            connection[1].write(_GET + b"\r\n")
+            answer = await asyncio.wait_for(
+                connection[0].readuntil(b"\r\n\r\n"), 2
+            )
+            assert answer.startswith(b"HTTP/1.1 200")
+
+
+async def test_connections_with_an_open_request_are_not_closed_for_others():
+    requests = _HeldRequestServer()
+    async with caller_server.RunningServer(
+        requests, max_connections=4
+    ) as server:
+        served = [await server.connect() for _ in range(4)]
+        for _, writer in served:
+            writer.write(_GET + b"\r\n")
+        await asyncio.sleep(0.05)
+        reader, _ = await server.connect()
+        with contextlib.suppress(ConnectionError):
+            assert await asyncio.wait_for(reader.read(), 2) == b""
+        requests.go_on.set()
+        for reader, _ in served:
+            answer = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2)
+            assert answer.startswith(b"HTTP/1.1 200")
+
+
 async def test_client_that_takes_no_byte_of_its_reply_is_closed(monkeypatch):
     monkeypatch.setattr(
         "sassafrashold.front._caller_connection._REPLY_STALL_TIMEOUT",
--- a/src/sassafrashold/platform/boot.py
+++ b/src/sassafrashold/platform/boot.py
@@ -69,6 +69,9 @@
     memory_mb: float
     """Memory limit of the process, in MB; 0 if unknown."""
 
+    max_fds: float
+    """Limit on the open file descriptors of the process; 0 if unknown."""
+
     bootstrap: bool
     """Whether the whole system starts for the first time."""
 
@@ -175,6 +178,7 @@
         seeds=fields.addresses("seeds"),
         link_mbps=fields.number("limits.link_mbps", default="0"),
         memory_mb=fields.number("limits.memory_mb", default="0"),
+        max_fds=fields.number("limits.max_fds", default="0"),
         bootstrap=value_by_name.get("bootstrap") == "true",
         store=fields.address("platform.address"),
         bounds=Bounds(
--- a/src/sassafrashold/platform/process.py
+++ b/src/sassafrashold/platform/process.py
@@ -28,8 +28,15 @@
 _CLIENT_MEMORY_RATIO = 0.25
 # A body is copied for each leaf that it is sent to.
 _REQUEST_MEMORY_RATIO = 0.125
+# The platform sets these descriptors aside for files.
+_FILE_FDS = 200
+# Parts of the other descriptors for connections of callers and of other hosts;
+# the rest is for connections to leafs, to the store and to other hosts.
+_CALLER_FDS_RATIO = 0.5
+_PEER_FDS_RATIO = 0.125
 # If the platform sets no limit.
 _DEFAULT_MEMORY_MB = 192
+_DEFAULT_MAX_FDS = 4096
 _BYTES_PER_MB = 2**20
 
 
@@ -44,6 +51,7 @@
     """
     metrics = settings.Address(values.ip, metrics_port)
     memory_mb = values.memory_mb or _DEFAULT_MEMORY_MB
+    socket_fds = max((values.max_fds or _DEFAULT_MAX_FDS) - _FILE_FDS, 0)
     return front.FrontSettings(
         host=values.host,
         zone=values.zone,
@@ -54,6 +62,8 @@
         max_answer_bytes=_memory_part(memory_mb, _ANSWER_MEMORY_RATIO),
         max_request_bytes=_memory_part(memory_mb, _REQUEST_MEMORY_RATIO),
         max_client_bytes=_memory_part(memory_mb, _CLIENT_MEMORY_RATIO),
+        max_caller_connections=max(int(socket_fds * _CALLER_FDS_RATIO), 1),
+        max_peer_connections=max(int(socket_fds * _PEER_FDS_RATIO), 1),
         bootstrap=values.bootstrap,
         metrics_address=metrics if metrics_port else None,
         leaf_drain_time=values.bounds.drain,
