Count the bodies that are being received among what clients hold

Callers saw: a host that ended. On the port for other hosts each body may have 1 MiB, and nothing bounded all of them: 200 clients that stopped one byte before the end of theirs took 289 MB.

Change: bytes of bodies count, on all ports, three times (as received, as a whole, in a request to a leaf) until the reply. So that callers' bodies are refused with 503 and Retry-After before a connection is closed for them, they may take a sixteenth of memory_mb together, not an eighth: 12.5 MB on the smallest host, 47 bodies of the largest allowed size.

--- a/src/sassafrashold/front/_caller_connection.py
+++ b/src/sassafrashold/front/_caller_connection.py
@@ -51,6 +51,8 @@
 _HEAD_COPIES = 3
 _HEAD_LINE_BYTES = 512
 _UNREADABLE_STATUS = 400
+# A body is kept as received, as a whole and in a request to a leaf.
+_BODY_COPIES = 3
 # Time for a client to read the refusal of its head; bytes that it still sends
 # are dropped meanwhile.
 _REFUSAL_TIME_S = 1.0
@@ -171,6 +173,7 @@
         # Bytes behind that request.
         self._unparsed = bytearray()
         self._is_parsing = False
+        self._body_memory = 0
         self._reply_memory = 0
         self._refused = False
 
@@ -257,6 +260,8 @@
             piece = bytes(self._unparsed[:_PIECE_BYTES])
             del self._unparsed[:_PIECE_BYTES]
             if self._receives_body:
+                if isinstance(self.phase, RequestPhase):
+                    self._body_memory += _BODY_COPIES * len(piece)
                 super().data_received(piece)
             else:
                 self._parse_head(piece)
@@ -306,6 +311,7 @@
             _CONNECTION_BYTES
             + self._head_memory
             + len(self._unparsed)
+            + self._body_memory
             + self._reply_memory
         )
 
@@ -344,6 +350,7 @@
         start_time: float | None,
     ) -> tuple[web.StreamResponse, bool]:
         """Sends the reply, then goes on with the bytes behind the request."""
+        self._body_memory = 0
         body_size = _hold_in_pieces(resp)
         self._enter(ReplyPhase(self._now(), body_size))
         # The piece that is being sent is a copy.
--- a/src/sassafrashold/platform/process.py
+++ b/src/sassafrashold/platform/process.py
@@ -26,8 +26,9 @@
 # Part of it for the connections of clients on all ports, with their requests
 # and replies.
 _CLIENT_MEMORY_RATIO = 0.25
-# A body is copied for each leaf that it is sent to.
-_REQUEST_MEMORY_RATIO = 0.125
+# Part of it for the bodies of requests. They count three times among what
+# clients hold, and are refused before connections are closed for them.
+_REQUEST_MEMORY_RATIO = _CLIENT_MEMORY_RATIO / 4
 # The platform sets these descriptors aside for files.
 _FILE_FDS = 200
 # Parts of the other descriptors for connections of callers and of other hosts;
