Don't pass on answers whose status is outside HTTP

Callers saw, on a route that is not idempotent, an answer that begins with "HTTP/1.1 0": the parser takes any three digits, and a leaf's answer with status 000, 099 or 999 counted as one of the leaf, which callers get unchanged. With Not-Executed it even counted as not run.

Change: a status below 100 or above 599 is an unreadable answer. The connection is closed and the call is lost: idempotent requests go to another leaf, others get 502, which promises nothing.

Measured: test_answer_with_a_status_outside_http_is_no_answer (10 cases) and test_answer_with_status_000_is_not_passed_on with a real process failed before and pass.

--- a/src/sassafrashold/front/_leaf_connection.py
+++ b/src/sassafrashold/front/_leaf_connection.py
@@ -24,6 +24,9 @@
 _MAX_HEAD_BYTES = 4 * 2**16
 # All bytes of an answer, with its framing and any answers that it replaces.
 _MAX_ANSWER_BYTES = 16 * 2**20
+# HTTP has no other statuses; the parser takes any three digits.
+_MIN_STATUS = 100
+_MAX_STATUS = 599
 # A leaf that sends no keep-alive timeout keeps idle connections at least this
 # long.
 _DEFAULT_KEEP_ALIVE = datetime.timedelta(seconds=4)
@@ -210,6 +213,9 @@
     def _read_messages(self) -> None:
         while self._pending_messages and self._on_result is not None:
             message, payload = self._pending_messages[0]
+            if not _MIN_STATUS <= message.code <= _MAX_STATUS:
+                self._fail(f"unreadable answer: status {message.code:03}")
+                return
             error = payload.exception()
             if error is not None:
                 self._fail(f"unreadable answer: {error}")
--- a/src/sassafrashold/front/tests/test_leaf_pool.py
+++ b/src/sassafrashold/front/tests/test_leaf_pool.py
@@ -387,6 +387,27 @@
         assert result.may_have_run
 
 
+@pytest.mark.parametrize("status", [b"000", b"001", b"099", b"600", b"999"])
+@pytest.mark.parametrize("header", [b"", b"Not-Executed: 1\r\n"])
+async def test_answer_with_a_status_outside_http_is_no_answer(status, header):
+    """Guards against a status that callers can't read.
+
+    On a route that is not idempotent, callers got the status of the leaf.
+    """
+    answer = _ok_answer(b"a").replace(b"200", status)
+    async with _ScriptedLeaf() as leaf:
+        leaf.chunks_by_request = [
+            [answer.replace(b"Server-Stamp", header + b"Server-Stamp")],
+            [_ok_answer(b"b")],
+        ]
+        result = await leaf.send_request("a")
+        assert isinstance(result, calls.Failed)
+        assert result.kind is calls.FailureKind.LOST
+        assert result.answer is None
+        assert isinstance(await leaf.send_request("b"), calls.Answered)
+        assert leaf.connections == 2
+
+
 _ENDLESS = {
     "head": [b"HTTP/1.1 200 OK\r\n", [b"X-Any: " + b"y" * 1000 + b"\r\n"]],
     "line": [b"HTTP/1.1 200 OK\r\nX-Any: ", [_BLOCK]],
--- a/src/sassafrashold/standins/records_leaf.py
+++ b/src/sassafrashold/standins/records_leaf.py
@@ -28,6 +28,9 @@
     ENDLESS = "endless"
     """A body that goes on until the other side closes."""
 
+    NO_STATUS = "no_status"
+    """A whole answer whose status is 000."""
+
 
 @dataclasses.dataclass(frozen=True)
 class Run:
@@ -182,6 +185,9 @@
                     if not transport.get_write_buffer_size():
                         transport.write(_ENDLESS_BLOCK)
                     await asyncio.sleep(_ENDLESS_PAUSE_S)
+            case AnswerFault.NO_STATUS:
+                transport.write(answer.replace(b"200 OK", b"000 OK", 1))
+                transport.close()
             case None:
                 pass
 
--- a/tests/platform/test_front_processes.py
+++ b/tests/platform/test_front_processes.py
@@ -8,6 +8,8 @@
 import platform_harness
 import pytest
 
+from sassafrashold.standins import records_leaf
+
 # `bounds.grace_s` of the harness: time between SIGTERM and SIGKILL.
 _GRACE_S = 6.0
 
@@ -71,6 +73,20 @@
     assert answer.status == 200
 
 
+async def test_answer_with_status_000_is_not_passed_on(harness):
+    for zone in platform_harness.ZONES:
+        harness.leaf(
+            "single", zone
+        ).answer_fault = records_leaf.AnswerFault.NO_STATUS
+    once = await harness.send_request("/once/x", "r1", method="POST")
+    # 502 promises nothing: the request has run.
+    assert once.status == 502
+    assert "Server-Stamp" not in once.headers
+    assert len(harness.runs("r1")) == 1
+    answer = await harness.send_request("/one/x", "r2")
+    assert answer.status in {502, 504}
+
+
 async def test_request_rejected_by_all_leafs_gets_503_with_retry_after(harness):
     for zone in platform_harness.ZONES:
         harness.leaf("single", zone).reject = True
