Refuse requests that there is no memory to serve

Callers saw: a host that ended. A request takes about 1 KiB for its call to each shard, and only the number of connections bounded how many are open: 1,000 queries of 42 slow shards took a process from 42 to 116 MB on a host of 100 MB.

Change: a request reserves 8 KiB and 1.5 KiB for each service in the count of what clients hold, and may take half of it. Beyond, it is refused at once with 503 and Retry-After: it has not run. Connections that hold the room without an open request are closed first.

--- a/src/sassafrashold/front/_client_memory.py
+++ b/src/sassafrashold/front/_client_memory.py
@@ -1,5 +1,7 @@
 """Bound on the memory that clients make this process hold, on all ports."""
 
+from collections.abc import Iterator
+import contextlib
 import dataclasses
 import datetime
 from typing import Protocol
@@ -9,10 +11,17 @@
 # Over the limit, connections are closed until this share of it is left, so
 # that the next bytes don't need another pass over all connections.
 _ROOM_RATIO = 0.9
+# Part of the limit for the requests that are being served. These are refused
+# before connections with an open request are closed.
+_WORK_RATIO = 0.5
 # Ranks connections that are equally old by their size.
 _MIN_AGE = datetime.timedelta(milliseconds=1)
 
 
+class MemoryFullError(Exception):
+    """Clients hold too much memory for another request to be served."""
+
+
 class Holder(Protocol):
     """A connection that holds bytes for its client."""
 
@@ -57,10 +66,11 @@
         self._clock = clock
         self._holding_by_holder: dict[Holder, _Holding] = {}
         self._total = 0
+        self._reserved = 0
 
     @property
     def total(self) -> int:
-        """Bytes that all connections hold."""
+        """Bytes that all connections hold and that are reserved."""
         return self._total
 
     def hold(self, holder: Holder, size: int) -> None:
@@ -75,7 +85,7 @@
         self._total += size - (0 if known is None else known.size)
         self._holding_by_holder[holder] = _Holding(size, since)
         if self._total > self._max_bytes:
-            self._make_room()
+            self._make_room(0)
 
     def restart_age(self, holder: Holder) -> None:
         """Counts the age of what a connection holds from now on."""
@@ -91,14 +101,44 @@
         if known is not None:
             self._total -= known.size
 
-    def _make_room(self) -> None:
+    @contextlib.contextmanager
+    def reserve(self, size: int) -> Iterator[None]:
+        """Counts the memory to serve a request, until the request ends.
+
+        Args:
+            size: Number of bytes.
+
+        Raises:
+            MemoryFullError: There is no room for it.
+        """
+        if self._reserved + size > self._max_bytes * _WORK_RATIO:
+            raise MemoryFullError
+        if self._total + size > self._max_bytes:
+            self._make_room(size)
+            if self._total + size > self._max_bytes:
+                raise MemoryFullError
+        self._reserved += size
+        self._total += size
+        try:
+            yield
+        finally:
+            self._reserved -= size
+            self._total -= size
+
+    def _make_room(self, size: int) -> None:
+        """Closes connections for that many bytes more.
+
+        Without any, also those whose request is being served, over the limit.
+        """
         now = self._clock.monotonic()
         by_rank = sorted(
             self._holding_by_holder.items(),
             key=lambda item: (item[0].is_served, -_weight(item[1], now)),
         )
         for holder, _ in by_rank:
-            limit = self._max_bytes * (1 if holder.is_served else _ROOM_RATIO)
+            limit = self._max_bytes
+            if not holder.is_served:
+                limit = int(limit * _ROOM_RATIO) - size
             if self._total <= limit:
                 return
             self.release(holder)
--- a/src/sassafrashold/front/_daemon.py
+++ b/src/sassafrashold/front/_daemon.py
@@ -141,6 +141,9 @@
         self._metrics = _metrics.FrontMetrics()
         self._log = _request_log.RequestLog(clock)
         self._view_complete = asyncio.Event()
+        self._client_memory = _client_memory.ClientMemory(
+            values.max_client_bytes, clock
+        )
         self._requests = _requests.RequestServer(
             self._table,
             self._state,
@@ -148,11 +151,9 @@
             protocol,
             clock,
             self._view_complete,
+            self._client_memory,
         )
         self._internal_servers: list[_caller_connection.ConnectionServer] = []
-        self._client_memory = _client_memory.ClientMemory(
-            values.max_client_bytes, clock
-        )
         self._server = _server.CallerServer(
             self._requests,
             protocol,
--- a/src/sassafrashold/front/_requests.py
+++ b/src/sassafrashold/front/_requests.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Coroutine
 from collections.abc import Mapping
+from collections.abc import Sequence
+import contextlib
 import dataclasses
 import datetime
 import enum
@@ -13,6 +15,7 @@
 from sassafrashold import calls
 from sassafrashold import clock as clock_lib
 from sassafrashold import routing
+from sassafrashold.front import _client_memory
 from sassafrashold.front import _exchange
 from sassafrashold.front import _gathering
 from sassafrashold.front import _interfaces
@@ -45,6 +48,11 @@
 # Retry-After while no configuration is known. A host has usually read its first
 # one by then.
 _CONFIGURATION_RETRY_DELAY = datetime.timedelta(milliseconds=500)
+# Memory to serve a request, and for its call to each service.
+_REQUEST_BYTES = 8 * 1024
+_SERVICE_CALL_BYTES = 1536
+# Retry-After while there is no memory to serve a request.
+_MEMORY_RETRY_DELAY = datetime.timedelta(seconds=1)
 
 
 class Cause(enum.Enum):
@@ -56,6 +64,7 @@
     BODY_TOO_LARGE = "body_too_large"
     BODY_LATE = "body_late"
     BODIES_FULL = "bodies_full"
+    MEMORY_FULL = "memory_full"
     NO_LEAF = "no_leaf"
     OUT_OF_REACH = "out_of_reach"
     STARTED_LATE = "started_late"
@@ -100,6 +109,7 @@
         protocol: _interfaces.WireProtocol,
         clock: clock_lib.Clock,
         store_loaded: asyncio.Event,
+        memory: _client_memory.ClientMemory | None = None,
     ) -> None:
         """Initializes the server.
 
@@ -110,6 +120,7 @@
             protocol: Wire format of the headers of replies.
             clock: The clock.
             store_loaded: Set once the configuration and the leafs were read.
+            memory: Bounds what open requests take; None if nothing does.
         """
         self.start_queue = calls.StartQueue()
         self.local_gather = _gathering.LocalGather(state, pool, clock)
@@ -117,6 +128,7 @@
         # Set while this process stops: when it ends the requests that are open.
         self.stops_at: datetime.timedelta | None = None
         self._store_loaded = store_loaded
+        self._memory = memory
         self._startup_wait_end = clock.monotonic() + _MAX_STARTUP_WAIT
         self._table = table
         self._state = state
@@ -138,11 +150,9 @@
             return self._refusal(
                 503, Cause.NOT_CONFIGURED, _CONFIGURATION_RETRY_DELAY
             )
-        limits = configuration.client_limits
-        if request.header_bytes > limits.max_header_bytes:
-            return local_reply(431, Cause.HEAD_TOO_LARGE)
-        if len(request.body) > limits.max_body_bytes:
-            return local_reply(413, Cause.BODY_TOO_LARGE)
+        oversized = _refuse_oversized(request, configuration.client_limits)
+        if oversized is not None:
+            return oversized
         route = self._table.match(request.host, request.path)
         if route is None:
             return local_reply(404, Cause.NO_ROUTE)
@@ -151,29 +161,40 @@
         if refusal_cause is not None:
             return self._refusal(503, refusal_cause, _ZERO)
         services = self._table.select_services(route)
-        match route.target:
-            case routing.Gather() as gather:
-                pending_reply = self._serve_gather(
-                    _gathering.Query(
+        with contextlib.ExitStack() as open_request:
+            try:
+                open_request.enter_context(self._reserve_memory(services))
+            except _client_memory.MemoryFullError:
+                return self._refusal(
+                    503, Cause.MEMORY_FULL, _MEMORY_RETRY_DELAY
+                )
+            match route.target:
+                case routing.Gather() as gather:
+                    pending_reply = self._serve_gather(
+                        _gathering.Query(
+                            request,
+                            route,
+                            gather,
+                            configuration.version,
+                            arrived_at,
+                            _gather_times(route, arrived_at, reply_deadline),
+                            leaf_deadline,
+                        )
+                    )
+                    if startup_delay > route.target_latency:
+                        reply = await self._serve_queued(
+                            pending_reply, reply_deadline
+                        )
+                    else:
+                        reply = await pending_reply
+                case routing.SingleService() | routing.SplitTraffic():
+                    reply = await self._serve_single(
                         request,
                         route,
-                        gather,
-                        configuration.version,
-                        arrived_at,
-                        _gather_times(route, arrived_at, reply_deadline),
+                        services[0],
+                        reply_deadline,
                         leaf_deadline,
                     )
-                )
-                if startup_delay > route.target_latency:
-                    reply = await self._serve_queued(
-                        pending_reply, reply_deadline
-                    )
-                else:
-                    reply = await pending_reply
-            case routing.SingleService() | routing.SplitTraffic():
-                reply = await self._serve_single(
-                    request, route, services[0], reply_deadline, leaf_deadline
-                )
         log_fields = {
             "route": route.name,
             "configuration": configuration.version,
@@ -184,6 +205,15 @@
         }
         return dataclasses.replace(reply, log_fields=log_fields)
 
+    def _reserve_memory(
+        self, services: Sequence[str]
+    ) -> contextlib.AbstractContextManager[None]:
+        if self._memory is None:
+            return contextlib.nullcontext()
+        return self._memory.reserve(
+            _REQUEST_BYTES + _SERVICE_CALL_BYTES * len(services)
+        )
+
     def _known_too_late(
         self, route: routing.Route, reply_deadline: datetime.timedelta
     ) -> Cause | None:
@@ -456,6 +486,17 @@
     return now + remaining - margin, now + remaining
 
 
+def _refuse_oversized(
+    request: calls.ClientRequest, limits: routing.ClientLimits
+) -> Reply | None:
+    """Returns the refusal of a request over a limit on its size, if it is."""
+    if request.header_bytes > limits.max_header_bytes:
+        return local_reply(431, Cause.HEAD_TOO_LARGE)
+    if len(request.body) > limits.max_body_bytes:
+        return local_reply(413, Cause.BODY_TOO_LARGE)
+    return None
+
+
 def local_reply(
     status: int, cause: Cause, headers: Mapping[str, str] | None = None
 ) -> Reply:
--- a/src/sassafrashold/front/tests/test_client_memory.py
+++ b/src/sassafrashold/front/tests/test_client_memory.py
@@ -85,6 +85,30 @@
     assert (kept.given_up, slow.given_up) == (False, True)
 
 
+def test_requests_are_refused_before_connections_with_requests_are_closed():
+    memory = _client_memory.ClientMemory(100, clock_lib.ManualClock())
+    served, idle = _Connection(is_served=True), _Connection()
+    memory.hold(served, 30)
+    memory.hold(idle, 50)
+    with memory.reserve(30):
+        assert idle.given_up
+        assert memory.total == 60
+        with (
+            pytest.raises(_client_memory.MemoryFullError),
+            memory.reserve(21),
+        ):
+            pass
+        memory.hold(served, 60)
+        with (
+            pytest.raises(_client_memory.MemoryFullError),
+            memory.reserve(20),
+        ):
+            pass
+        assert memory.total == 90
+    assert memory.total == 60
+    assert not served.given_up
+
+
 async def test_head_over_the_limit_is_refused_before_its_end():
     async with caller_server.RunningServer() as server:
         reader, writer = await server.connect()
--- a/tests/platform/platform_harness.py
+++ b/tests/platform/platform_harness.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Mapping
+from collections.abc import Sequence
 import datetime
 import hashlib
 import os
@@ -144,6 +145,7 @@
         proxied: bool = False,
         host_limits: Mapping[str, int] | None = None,
         max_body_bytes: int = 1000,
+        shards: Sequence[str] = SHARDS,
     ) -> None:
         """Initializes the harness.
 
@@ -153,17 +155,19 @@
             proxied: Whether proxies stand before the store and the leafs.
             host_limits: Fields under `limits` in the settings of each front.
             max_body_bytes: Largest body that the configuration allows.
+            shards: Services that the gathering route names.
         """
         self._folder = folder
         self._front_count = fronts
         self._proxied = proxied
         self._host_limits = host_limits
         self._max_body_bytes = max_body_bytes
+        self._services = (*shards, "single")
         self.links: list[_proxy.Link] = []
         self.store = objects_store.ObjectsStore()
         self.leafs = [
             records_leaf.RecordsLeaf(f"{service}-{zone}", service, zone)
-            for service in (*SHARDS, "single")
+            for service in self._services
             for zone in ZONES
         ]
         self.fronts: list[Front] = []
@@ -172,7 +176,7 @@
             route(
                 "all",
                 "/all/",
-                gather=list(SHARDS),
+                gather=list(shards),
                 top_k=5,
                 min_shard_fraction=0.6,
             ),
@@ -279,7 +283,7 @@
                         "max_connections": 160,
                         "cold_per_s": 0.0,
                     }
-                    for service in (*SHARDS, "single")
+                    for service in self._services
                 ],
                 "limits": {
                     "max_header_bytes": 16384,
--- a/tests/platform/test_misbehaving_clients.py
+++ b/tests/platform/test_misbehaving_clients.py
@@ -13,6 +13,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Mapping
 from collections.abc import Sequence
 import contextlib
 import dataclasses
@@ -30,6 +31,11 @@
 _MEMORY_MB = 200
 # Lower than on any host of the platform, so that a small crowd is enough.
 _MAX_FDS = 500
+_SMALL_HOST = {"memory_mb": _MEMORY_MB, "max_fds": _MAX_FDS}
+# Less memory, and the descriptors of the smallest host: for open requests.
+_TINY_HOST = {"memory_mb": 100, "max_fds": 4100}
+_OPEN_REQUESTS = 1000
+_MANY_SHARDS = tuple(f"shard-{number:02}" for number in range(42))
 # The platform sets these aside for files.
 _FILE_FDS = 200
 _CROWD = 100
@@ -50,6 +56,7 @@
     b"POST /long/x HTTP/1.1\r\nHost: " + _HOST + b"\r\n"
     b"Deadline-Ms: 60000\r\nContent-Length: 0\r\n\r\n"
 )
+_GATHER = b"GET /all/x HTTP/1.1\r\nHost: " + _HOST + b"\r\n\r\n"
 _PEER_POST = b"POST /v1/leaf-health HTTP/1.1\r\nHost: h\r\n"
 
 
@@ -243,6 +250,14 @@
                     writer.write(data)
                     await reader.read(1)
 
+    async def wait_for_replies(self) -> None:
+        """Reads the first bytes of a reply, or the end, on each connection."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_MAX_ROUNDS * _ROUND_S):
+                for reader in self._readers:
+                    with contextlib.suppress(OSError):
+                        await reader.read(1)
+
     async def read_slowly(self, rounds: int) -> None:
         """Reads a few bytes on each connection, in rounds with pauses."""
         for _ in range(rounds):
@@ -262,10 +277,13 @@
 
 
 class Watch:
-    """Peak memory and sockets of one process."""
+    """Peak memory and sockets of one process, against those of its host."""
 
-    def __init__(self, front: platform_harness.Front) -> None:
+    def __init__(
+        self, front: platform_harness.Front, limits: Mapping[str, int]
+    ) -> None:
         assert front.process is not None
+        self._limits = limits
         self._process = front.process
         self._folder = pathlib.Path(f"/proc/{front.process.pid}")
         self._most_sockets = 0
@@ -294,8 +312,9 @@
             for line in status.splitlines()
             if line.startswith("VmHWM:")
         )
-        assert peak_kb <= _MEMORY_MB * 1024, f"peak {peak_kb / 1024:.0f} MB"
-        assert self._most_sockets <= _MAX_FDS - _FILE_FDS
+        peak_mb = peak_kb / 1024
+        assert peak_mb <= self._limits["memory_mb"], f"peak {peak_mb:.0f} MB"
+        assert self._most_sockets <= self._limits["max_fds"] - _FILE_FDS
 
 
 @pytest.fixture
@@ -305,7 +324,7 @@
     """A front process with the memory of the smallest host."""
     async with platform_harness.PlatformHarness(
         tmp_path,
-        host_limits={"memory_mb": _MEMORY_MB, "max_fds": _MAX_FDS},
+        host_limits=_SMALL_HOST,
         max_body_bytes=_LARGE_BODY_BYTES,
     ) as running:
         yield running
@@ -323,12 +342,14 @@
 
 @contextlib.asynccontextmanager
 async def _clients_and_watch(
-    harness: platform_harness.PlatformHarness, port: str
+    harness: platform_harness.PlatformHarness,
+    port: str,
+    limits: Mapping[str, int] = _SMALL_HOST,
 ) -> AsyncIterator[Clients]:
     """Provides clients; checks the process with them and without them."""
     front = harness.fronts[0]
     clients = Clients(_address(front, port))
-    watch = Watch(front)
+    watch = Watch(front, limits)
     sampling = asyncio.create_task(watch.run())
     try:
         yield clients
@@ -381,3 +402,20 @@
         await clients.open(_CROWD)
         await clients.request_one_by_one((_GET + b"\r\n") * requests)
         await clients.read_slowly(reads)
+
+
+async def test_process_bounds_the_requests_that_are_open(tmp_path):
+    """Each query of a caller takes memory for the call to each shard."""
+    async with platform_harness.PlatformHarness(
+        tmp_path, host_limits=_TINY_HOST, shards=_MANY_SHARDS
+    ) as harness:
+        for leaf in harness.leafs:
+            leaf.work = _LONG_WORK
+        async with _clients_and_watch(
+            harness, "clients", _TINY_HOST
+        ) as clients:
+            await clients.open(_OPEN_REQUESTS)
+            await clients.send([_GATHER])
+            await clients.wait_for_replies()
+            for leaf in harness.leafs:
+                leaf.work = datetime.timedelta()
