--- a/src/sassafrashold/front/tests/caller_server.py
+++ b/src/sassafrashold/front/tests/caller_server.py
@@ -44,11 +44,12 @@
         max_request_bytes=10_000,
         max_client_bytes=10**8,
         max_connections=1000,
+        max_body_bytes=LIMITS.max_body_bytes,
     ):
         self._max_connections = max_connections
         self._requests: Any = requests or EchoRequestServer()
         self.bodies = _request_bodies.RequestBodies(
-            max_request_bytes, lambda: LIMITS.max_body_bytes
+            max_request_bytes, lambda: max_body_bytes
         )
         self.memory = _client_memory.ClientMemory(
             max_client_bytes, clock_lib.SystemClock()
--- a/src/sassafrashold/front/tests/test_client_memory.py
+++ b/src/sassafrashold/front/tests/test_client_memory.py
@@ -168,6 +168,34 @@
             assert await reader.readexactly(904) == body
 
 
+_LARGE_BODY = bytes(range(256)) * 12_000
+_CHUNKS = [
+    _LARGE_BODY[start : start + 7777]
+    for start in range(0, len(_LARGE_BODY), 7777)
+]
+_LARGE_REQUESTS = {
+    "length": b"Content-Length: %d\r\n\r\n" % len(_LARGE_BODY) + _LARGE_BODY,
+    "chunked": b"Transfer-Encoding: chunked\r\n\r\n"
+    + b"".join(b"%x\r\n%s\r\n" % (len(chunk), chunk) for chunk in _CHUNKS)
+    + b"0\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("framing", _LARGE_REQUESTS)
+async def test_large_bodies_behind_each_other_are_read_whole(framing):
+    """Guards against reading that stays paused between pieces of a body."""
+    data = _POST + _LARGE_REQUESTS[framing]
+    async with caller_server.RunningServer(
+        max_request_bytes=10**7, max_body_bytes=10**7
+    ) as server:
+        reader, writer = await server.connect()
+        writer.write(data * 3)
+        for _ in range(3):
+            await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 10)
+            body = await reader.readexactly(len(_LARGE_BODY))
+            assert body == _LARGE_BODY
+
+
 async def test_request_behind_a_declined_upgrade_is_served():
     async with caller_server.RunningServer() as server:
         reader, writer = await server.connect()
