Split the connections of clients into modules of one job each

Phases with their time limits, limits of a port, the connection, and the server of a port. The connection serves all ports, so it is named after clients. No behaviour changes; tests change names only.

--- a/src/sassafrashold/front/_caller_connection.py
+++ b/src/sassafrashold/front/_client_connection.py
@@ -1,12 +1,8 @@
-"""Caller connections, and the limits on their time and memory."""
+"""A connection of a client, which counts and bounds what it holds."""
 
 import asyncio
-from collections.abc import Awaitable
 from collections.abc import Callable
-import dataclasses
 import datetime
-import enum
-import heapq
 import io
 from typing import Any
 from typing import cast
@@ -14,18 +10,9 @@
 from aiohttp import streams
 from aiohttp import web
 
-from sassafrashold import routing
-from sassafrashold.front import _client_memory
-
-# Callers may still apply the longer idle timeout of an older configuration, so
-# idle connections are kept for a multiple of the configured timeout.
-_IDLE_TIMEOUT_FACTOR = 4
-_ZERO = datetime.timedelta()
-# Idle timeout that aiohttp enforces; `close_overdue` enforces the configured
-# one.
-_MAX_KEEP_ALIVE_S = 3600.0
-_MAX_LINE_BYTES = 65536
-_MAX_HEADERS = 256
+from sassafrashold.front import _connection_limits
+from sassafrashold.front import _connection_phases
+
 # The configured limit applies to the names and values of headers; their
 # framing and the request line come on top.
 _HEAD_SIZE_FACTOR = 2
@@ -33,12 +20,6 @@
 # Bytes given to the parser at once: it does not say where in them a request
 # ended, so what is counted is exact up to this size.
 _PIECE_BYTES = 4096
-# A client that takes no byte of its reply for this long no longer waits for it;
-# deadlines of requests are shorter.
-_REPLY_STALL_TIMEOUT = datetime.timedelta(seconds=30)
-# Part of the connections of a port that are closed at once over the limit, so
-# that the next one doesn't need another pass over all of them.
-_SPARED_RATIO = 0.02
 # Larger replies are written in pieces, each when the one before was sent.
 _REPLY_PIECE_BYTES = 256 * 1024
 # Bytes behind an open request for which reading goes on: only a connection that
@@ -62,106 +43,35 @@
 )
 
 
-@dataclasses.dataclass(frozen=True)
-class IdlePhase:
-    """No byte of the next request has arrived."""
-
-    since: datetime.timedelta
-    """Event loop time at which the connection became idle."""
-
-
-@dataclasses.dataclass(frozen=True)
-class HeadPhase:
-    """A request head has arrived in part."""
-
-    since: datetime.timedelta
-    """Event loop time at which the first byte of the head arrived."""
-
-
-@dataclasses.dataclass(frozen=True)
-class RequestPhase:
-    """A request head was read and the request is not answered yet."""
-
-
-@dataclasses.dataclass(frozen=True)
-class ReplyPhase:
-    """A reply is being sent."""
-
-    since: datetime.timedelta
-    """Event loop time at which the client last took bytes of it."""
-
-    unsent: int
-    """Bytes that waited for the client at that time."""
-
-
-Phase = IdlePhase | HeadPhase | RequestPhase | ReplyPhase
-
-
-def is_overdue(
-    phase: Phase, limits: routing.ClientLimits, now: datetime.timedelta
-) -> bool:
-    """Returns whether a connection has exceeded the limit of its phase.
-
-    Args:
-        phase: Current phase of the connection.
-        limits: Limits in force; 0 means no limit.
-        now: Event loop time.
-    """
-    match phase:
-        case IdlePhase(since):
-            time_limit = limits.idle_timeout * _IDLE_TIMEOUT_FACTOR
-        case HeadPhase(since):
-            time_limit = limits.header_timeout
-        case RequestPhase():
-            return False
-        case ReplyPhase(since):
-            time_limit = _REPLY_STALL_TIMEOUT
-    return _ZERO < time_limit <= now - since
-
-
-class Refusal(enum.Enum):
-    """Why a client was refused or cut off, as metrics show it."""
-
-    HEAD_TOO_LARGE = "head_too_large"
-    UNREADABLE = "unreadable"
-    MEMORY = "memory"
-    CONNECTIONS = "connections"
-
-
-@dataclasses.dataclass(frozen=True)
-class ConnectionLimits:
-    """Limits on what the clients of one port make this process hold."""
-
-    memory: _client_memory.ClientMemory
-    """Bounds all connections of the process together."""
-
-    max_header_bytes: Callable[[], int]
-    """Returns the maximum size of the headers of a request."""
-
-    max_connections: int
-    """Maximum number of open connections of this port."""
-
-    on_refusal: Callable[[Refusal], None] = lambda _: None
-    """Called for each refusal."""
-
-
-class CallerConnection(web.RequestHandler):
+class ClientConnection(web.RequestHandler):
     """An aiohttp connection that also tracks its phase and its memory."""
 
     def __init__(
         self,
-        server: "ConnectionServer",
-        limits: ConnectionLimits,
+        server: web.Server,
+        limits: _connection_limits.ConnectionLimits,
+        closes_idle: Callable[[], bool],
         *,
         loop: asyncio.AbstractEventLoop,
         **kwargs: Any,
     ) -> None:
-        """Initializes the connection; other arguments as in aiohttp."""
+        """Initializes the connection.
+
+        Args:
+            server: The server of its port.
+            limits: Limits of that port.
+            closes_idle: Returns whether the connection ends once its reply has
+                been sent.
+            loop: The event loop.
+            **kwargs: Further arguments of aiohttp.
+        """
         super().__init__(server, loop=loop, **kwargs)
         self._event_loop = loop
-        self._server = server
+        self._closes_idle = closes_idle
         self._limits = limits
-        self.phase: Phase = IdlePhase(self._now())
+        self.phase: _connection_phases.Phase = _connection_phases.IdlePhase(
+            self._now()
+        )
         self._phase_began = self._now()
         # Bytes of the head that is being received, with empty lines before it.
         self._head_bytes = 0
@@ -180,19 +90,22 @@
     @property
     def is_served(self) -> bool:
         """Whether a complete request is being served."""
-        return isinstance(self.phase, RequestPhase) and not self._receives_body
+        return (
+            isinstance(self.phase, _connection_phases.RequestPhase)
+            and not self._receives_body
+        )
 
     @property
     def spare_rank(self) -> tuple[int, datetime.timedelta]:
         """Sorts connections by which is closed first for a new one."""
         match self.phase:
-            case IdlePhase():
+            case _connection_phases.IdlePhase():
                 rank = 0
-            case HeadPhase():
+            case _connection_phases.HeadPhase():
                 rank = 1
-            case ReplyPhase():
+            case _connection_phases.ReplyPhase():
                 rank = 2
-            case RequestPhase():
+            case _connection_phases.RequestPhase():
                 rank = 3
         return rank, self._phase_began
 
@@ -204,7 +117,10 @@
     def _awaits_reply(self) -> bool:
         """Whether a complete request has not been answered yet."""
         return bool(self._messages) or (
-            isinstance(self.phase, RequestPhase | ReplyPhase)
+            isinstance(
+                self.phase,
+                _connection_phases.RequestPhase | _connection_phases.ReplyPhase,
+            )
             and not self._receives_body
         )
 
@@ -260,15 +176,15 @@
             piece = bytes(self._unparsed[:_PIECE_BYTES])
             del self._unparsed[:_PIECE_BYTES]
             if self._receives_body:
-                if isinstance(self.phase, RequestPhase):
+                if isinstance(self.phase, _connection_phases.RequestPhase):
                     self._body_memory += _BODY_COPIES * len(piece)
                 super().data_received(piece)
             else:
                 self._parse_head(piece)
 
     def _parse_head(self, piece: bytes) -> None:
-        if isinstance(self.phase, IdlePhase):
-            self._enter(HeadPhase(self._now()))
+        if isinstance(self.phase, _connection_phases.IdlePhase):
+            self._enter(_connection_phases.HeadPhase(self._now()))
         if not self._head_bytes:
             self._head_memory = 0
         self._head_bytes += len(piece)
@@ -287,7 +203,7 @@
     def _refuse_head(self) -> None:
         self._refused = True
         self._unparsed.clear()
-        self._limits.on_refusal(Refusal.HEAD_TOO_LARGE)
+        self._limits.on_refusal(_connection_limits.Refusal.HEAD_TOO_LARGE)
         if self.transport is not None:
             self.transport.write(_HEAD_REFUSAL)
         self._event_loop.call_later(_REFUSAL_TIME_S, self.force_close)
@@ -317,7 +233,7 @@
 
     def give_up(self) -> None:
         """Closes the connection at once, as clients hold too much memory."""
-        self._limits.on_refusal(Refusal.MEMORY)
+        self._limits.on_refusal(_connection_limits.Refusal.MEMORY)
         self.abort()
 
     def abort(self) -> None:
@@ -327,7 +243,7 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def _enter(self, phase: Phase) -> None:
+    def _enter(self, phase: _connection_phases.Phase) -> None:
         self.phase = phase
         self._phase_began = self._now()
         self._limits.memory.restart_age(self)
@@ -339,7 +255,7 @@
             body: Reads the body of the request.
         """
         self._body = body
-        self._enter(RequestPhase())
+        self._enter(_connection_phases.RequestPhase())
         if self._unparsed:
             self._event_loop.call_soon(self._parse_received)
 
@@ -352,7 +268,7 @@
         """Sends the reply, then goes on with the bytes behind the request."""
         self._body_memory = 0
         body_size = _hold_in_pieces(resp)
-        self._enter(ReplyPhase(self._now(), body_size))
+        self._enter(_connection_phases.ReplyPhase(self._now(), body_size))
         # The piece that is being sent is a copy.
         self._reply_memory = body_size + min(body_size, 2 * _REPLY_PIECE_BYTES)
         self._update_memory()
@@ -363,8 +279,8 @@
                 # aiohttp keeps the reply until the next one.
                 resp.body = None
             self._reply_memory = 0
-            self._enter(IdlePhase(self._now()))
-            if self._server.closes_idle:
+            self._enter(_connection_phases.IdlePhase(self._now()))
+            if self._closes_idle():
                 self.close()
             elif resp.keep_alive:
                 self._parse_received()
@@ -382,18 +298,20 @@
         """
         if status != _UNREADABLE_STATUS:
             return super().handle_error(request, status, exc, message)
-        self._limits.on_refusal(Refusal.UNREADABLE)
+        self._limits.on_refusal(_connection_limits.Refusal.UNREADABLE)
         response = web.Response(status=status)
         response.force_close()
         return response
 
     def note_reply_progress(self) -> None:
         """Notes whether the client has taken bytes of its reply."""
-        if self.transport is None or not isinstance(self.phase, ReplyPhase):
+        if self.transport is None or not isinstance(
+            self.phase, _connection_phases.ReplyPhase
+        ):
             return
         unsent = self.transport.get_write_buffer_size()
         if unsent != self.phase.unsent:
-            self.phase = ReplyPhase(self._now(), unsent)
+            self.phase = _connection_phases.ReplyPhase(self._now(), unsent)
 
     def _now(self) -> datetime.timedelta:
         return datetime.timedelta(seconds=self._event_loop.time())
@@ -412,141 +330,3 @@
     if len(body) > _REPLY_PIECE_BYTES:
         response.body = io.BytesIO(body)
     return len(body)
-
-
-Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
-
-
-class ConnectionServer(web.Server):
-    """An aiohttp server whose connections are `CallerConnection`s."""
-
-    def __init__(
-        self, handler: Handler, limits: ConnectionLimits, **kwargs: Any
-    ) -> None:
-        """Initializes the server.
-
-        Args:
-            handler: Handles a request.
-            limits: Limits on the connections.
-            **kwargs: Further arguments of aiohttp's connections.
-        """
-        super().__init__(
-            handler,
-            request_factory=_create_request,
-            handler_cancellation=True,
-        )
-        self._limits = limits
-        self.all_closed = asyncio.Event()
-        """Set while no connection is open."""
-        self.all_closed.set()
-        # aiohttp lists connections until their task has ended.
-        self._open: dict[CallerConnection, None] = {}
-        self.closes_idle = False
-        """Whether a connection ends once its reply has been sent."""
-        self._connection_arguments = {
-            "keepalive_timeout": _MAX_KEEP_ALIVE_S,
-            "max_line_size": _MAX_LINE_BYTES,
-            "max_field_size": _MAX_LINE_BYTES,
-            "max_headers": _MAX_HEADERS,
-            "access_log": None,
-            **kwargs,
-        }
-
-    def __call__(self) -> CallerConnection:
-        """Creates the protocol object of a new connection."""
-        return CallerConnection(
-            self,
-            self._limits,
-            loop=asyncio.get_running_loop(),
-            **self._connection_arguments,
-        )
-
-    def connection_made(
-        self, handler: web.RequestHandler, transport: asyncio.Transport
-    ) -> None:
-        """Records a connection; called by aiohttp."""
-        super().connection_made(handler, transport)
-        self.all_closed.clear()
-        connection = cast(CallerConnection, handler)
-        self._open[connection] = None
-        if len(self._open) > self._limits.max_connections:
-            self._close_for(connection)
-
-    def connection_lost(
-        self, handler: web.RequestHandler, exc: BaseException | None = None
-    ) -> None:
-        """Records that a connection has ended; called by aiohttp."""
-        super().connection_lost(handler, exc)
-        self._open.pop(cast(CallerConnection, handler), None)
-        if not self._open:
-            self.all_closed.set()
-
-    def close_idle(self) -> None:
-        """Closes the connections without a request.
-
-        aiohttp's `pre_shutdown` would make the others ignore all further bytes,
-        also those of a body that is being received.
-        """
-        self.closes_idle = True
-        for connection in list(self._open):
-            if isinstance(connection.phase, IdlePhase):
-                connection.force_close()
-
-    def _close_for(self, newest: CallerConnection) -> None:
-        """Closes connections that can be spared for the newest, or that one.
-
-        A client whose connection is closed before its request was read may send
-        the request again.
-        """
-        candidates = [
-            connection
-            for connection in self._open
-            if connection is not newest and not connection.is_served
-        ]
-        spared = heapq.nsmallest(
-            max(1, int(self._limits.max_connections * _SPARED_RATIO)),
-            candidates,
-            key=lambda connection: connection.spare_rank,
-        )
-        for connection in spared or [newest]:
-            self._limits.on_refusal(Refusal.CONNECTIONS)
-            connection.abort()
-            self._open.pop(connection, None)
-
-    def close_overdue(self, limits: routing.ClientLimits) -> int:
-        """Closes connections that have exceeded the limit of their phase.
-
-        Args:
-            limits: Limits in force.
-
-        Returns:
-            Number of closed connections.
-        """
-        now = datetime.timedelta(seconds=asyncio.get_running_loop().time())
-        closed = 0
-        for connection in list(self._open):
-            connection.note_reply_progress()
-            if not is_overdue(connection.phase, limits, now):
-                continue
-            closed += 1
-            if isinstance(connection.phase, ReplyPhase):
-                # Its unsent bytes would keep the connection open.
-                connection.abort()
-            else:
-                connection.force_close()
-        return closed
-
-
-def _create_request(
-    message: Any, payload: Any, protocol: Any, writer: Any, task: Any
-) -> web.BaseRequest:
-    """Creates an aiohttp request and tells its connection that it began."""
-    protocol.request_began(payload)
-    return web.BaseRequest(
-        message,
-        payload,
-        protocol,
-        writer,
-        task,
-        asyncio.get_running_loop(),
-    )
--- /dev/null
+++ b/src/sassafrashold/front/_connection_server.py
@@ -0,0 +1,166 @@
+"""The HTTP server of one port, which bounds the connections of its clients."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import datetime
+import heapq
+from typing import Any
+from typing import cast
+
+from aiohttp import web
+
+from sassafrashold import routing
+from sassafrashold.front import _client_connection
+from sassafrashold.front import _connection_limits
+from sassafrashold.front import _connection_phases
+
+# Idle timeout that aiohttp enforces; `close_overdue` enforces the configured
+# one.
+_MAX_KEEP_ALIVE_S = 3600.0
+_MAX_LINE_BYTES = 65536
+_MAX_HEADERS = 256
+# Part of the connections of a port that are closed at once over the limit, so
+# that the next one doesn't need another pass over all of them.
+_SPARED_RATIO = 0.02
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+class ConnectionServer(web.Server):
+    """An aiohttp server whose connections are `ClientConnection`s."""
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: _connection_limits.ConnectionLimits,
+        **kwargs: Any,
+    ) -> None:
+        """Initializes the server.
+
+        Args:
+            handler: Handles a request.
+            limits: Limits on the connections.
+            **kwargs: Further arguments of aiohttp's connections.
+        """
+        super().__init__(
+            handler,
+            request_factory=_create_request,
+            handler_cancellation=True,
+        )
+        self._limits = limits
+        self.all_closed = asyncio.Event()
+        """Set while no connection is open."""
+        self.all_closed.set()
+        # aiohttp lists connections until their task has ended.
+        self._open: dict[_client_connection.ClientConnection, None] = {}
+        self.closes_idle = False
+        """Whether a connection ends once its reply has been sent."""
+        self._connection_arguments = {
+            "keepalive_timeout": _MAX_KEEP_ALIVE_S,
+            "max_line_size": _MAX_LINE_BYTES,
+            "max_field_size": _MAX_LINE_BYTES,
+            "max_headers": _MAX_HEADERS,
+            "access_log": None,
+            **kwargs,
+        }
+
+    def __call__(self) -> _client_connection.ClientConnection:
+        """Creates the protocol object of a new connection."""
+        return _client_connection.ClientConnection(
+            self,
+            self._limits,
+            lambda: self.closes_idle,
+            loop=asyncio.get_running_loop(),
+            **self._connection_arguments,
+        )
+
+    def connection_made(
+        self, handler: web.RequestHandler, transport: asyncio.Transport
+    ) -> None:
+        """Records a connection; called by aiohttp."""
+        super().connection_made(handler, transport)
+        self.all_closed.clear()
+        connection = cast(_client_connection.ClientConnection, handler)
+        self._open[connection] = None
+        if len(self._open) > self._limits.max_connections:
+            self._close_for(connection)
+
+    def connection_lost(
+        self, handler: web.RequestHandler, exc: BaseException | None = None
+    ) -> None:
+        """Records that a connection has ended; called by aiohttp."""
+        super().connection_lost(handler, exc)
+        self._open.pop(cast(_client_connection.ClientConnection, handler), None)
+        if not self._open:
+            self.all_closed.set()
+
+    def close_idle(self) -> None:
+        """Closes the connections without a request.
+
+        aiohttp's `pre_shutdown` would make the others ignore all further bytes,
+        also those of a body that is being received.
+        """
+        self.closes_idle = True
+        for connection in list(self._open):
+            if isinstance(connection.phase, _connection_phases.IdlePhase):
+                connection.force_close()
+
+    def _close_for(self, newest: _client_connection.ClientConnection) -> None:
+        """Closes connections that can be spared for the newest, or that one.
+
+        A client whose connection is closed before its request was read may send
+        the request again.
+        """
+        candidates = [
+            connection
+            for connection in self._open
+            if connection is not newest and not connection.is_served
+        ]
+        spared = heapq.nsmallest(
+            max(1, int(self._limits.max_connections * _SPARED_RATIO)),
+            candidates,
+            key=lambda connection: connection.spare_rank,
+        )
+        for connection in spared or [newest]:
+            self._limits.on_refusal(_connection_limits.Refusal.CONNECTIONS)
+            connection.abort()
+            self._open.pop(connection, None)
+
+    def close_overdue(self, limits: routing.ClientLimits) -> int:
+        """Closes connections that have exceeded the limit of their phase.
+
+        Args:
+            limits: Limits in force.
+
+        Returns:
+            Number of closed connections.
+        """
+        now = datetime.timedelta(seconds=asyncio.get_running_loop().time())
+        closed = 0
+        for connection in list(self._open):
+            connection.note_reply_progress()
+            if not _connection_phases.is_overdue(connection.phase, limits, now):
+                continue
+            closed += 1
+            if isinstance(connection.phase, _connection_phases.ReplyPhase):
+                # Its unsent bytes would keep the connection open.
+                connection.abort()
+            else:
+                connection.force_close()
+        return closed
+
+
+def _create_request(
+    message: Any, payload: Any, protocol: Any, writer: Any, task: Any
+) -> web.BaseRequest:
+    """Creates an aiohttp request and tells its connection that it began."""
+    protocol.request_began(payload)
+    return web.BaseRequest(
+        message,
+        payload,
+        protocol,
+        writer,
+        task,
+        asyncio.get_running_loop(),
+    )
--- a/src/sassafrashold/front/_daemon.py
+++ b/src/sassafrashold/front/_daemon.py
@@ -20,8 +20,9 @@
 from sassafrashold import sockets
 from sassafrashold import telemetry
 from sassafrashold.front import _aggregation
-from sassafrashold.front import _caller_connection
 from sassafrashold.front import _client_memory
+from sassafrashold.front import _connection_limits
+from sassafrashold.front import _connection_server
 from sassafrashold.front import _gathering
 from sassafrashold.front import _health_sharing
 from sassafrashold.front import _interfaces
@@ -153,7 +154,7 @@
             self._view_complete,
             self._client_memory,
         )
-        self._internal_servers: list[_caller_connection.ConnectionServer] = []
+        self._internal_servers: list[_connection_server.ConnectionServer] = []
         self._server = _server.CallerServer(
             self._requests,
             protocol,
@@ -161,7 +162,7 @@
                 values.max_request_bytes,
                 lambda: self._client_limits().max_body_bytes,
             ),
-            _caller_connection.ConnectionLimits(
+            _connection_limits.ConnectionLimits(
                 memory=self._client_memory,
                 max_header_bytes=lambda: self._client_limits().max_header_bytes,
                 max_connections=values.max_caller_connections,
@@ -347,8 +348,8 @@
             _UNCONFIGURED_LIMITS if current is None else current.client_limits
         )
 
-    def _note_caller_refusal(self, refusal: _caller_connection.Refusal) -> None:
-        if refusal is _caller_connection.Refusal.HEAD_TOO_LARGE:
+    def _note_caller_refusal(self, refusal: _connection_limits.Refusal) -> None:
+        if refusal is _connection_limits.Refusal.HEAD_TOO_LARGE:
             self._metrics.count_request(
                 431,
                 _requests.Cause.HEAD_TOO_LARGE.value,
@@ -357,7 +358,7 @@
             )
         self._note_refusal(refusal)
 
-    def _note_refusal(self, refusal: _caller_connection.Refusal) -> None:
+    def _note_refusal(self, refusal: _connection_limits.Refusal) -> None:
         self._metrics.count_refusal(refusal.value)
         self._client_log_budget.info(
             _LOGGER, refusal.value, "client refused", {"cause": refusal.value}
@@ -426,12 +427,12 @@
         return await _listen(runner, address)
 
     async def _set_up_runner(
-        self, handler: _caller_connection.Handler, max_connections: int
+        self, handler: _connection_server.Handler, max_connections: int
     ) -> web.ServerRunner:
         """Sets up the server of a port that callers don't use."""
-        server = _caller_connection.ConnectionServer(
+        server = _connection_server.ConnectionServer(
             handler,
-            _caller_connection.ConnectionLimits(
+            _connection_limits.ConnectionLimits(
                 memory=self._client_memory,
                 max_header_bytes=lambda: _INTERNAL_LIMITS.max_header_bytes,
                 max_connections=max_connections,
--- a/src/sassafrashold/front/_server.py
+++ b/src/sassafrashold/front/_server.py
@@ -12,7 +12,8 @@
 from sassafrashold import calls
 from sassafrashold import clock as clock_lib
 from sassafrashold import routing
-from sassafrashold.front import _caller_connection
+from sassafrashold.front import _connection_limits
+from sassafrashold.front import _connection_server
 from sassafrashold.front import _interfaces
 from sassafrashold.front import _metrics
 from sassafrashold.front import _request_bodies
@@ -40,7 +41,7 @@
         requests: _requests.RequestServer,
         protocol: _interfaces.WireProtocol,
         bodies: _request_bodies.RequestBodies,
-        connection_limits: _caller_connection.ConnectionLimits,
+        connection_limits: _connection_limits.ConnectionLimits,
         metrics: _metrics.FrontMetrics,
         log: _request_log.RequestLog,
         clock: clock_lib.Clock,
@@ -67,7 +68,7 @@
         self._metrics = metrics
         self._log = log
         self._clock = clock
-        self._server: _caller_connection.ConnectionServer | None = None
+        self._server: _connection_server.ConnectionServer | None = None
         self._runner: web.ServerRunner | None = None
         self._sites: list[web.SockSite] = []
         self._draining = False
@@ -83,7 +84,7 @@
             listener: A listening socket; owned by the server, which closes it
                 in `stop_accepting`.
         """
-        self._server = _caller_connection.ConnectionServer(
+        self._server = _connection_server.ConnectionServer(
             self._handle,
             self._connection_limits,
             auto_decompress=False,
--- a/src/sassafrashold/front/tests/caller_server.py
+++ b/src/sassafrashold/front/tests/caller_server.py
@@ -8,8 +8,8 @@
 from sassafrashold import routing
 from sassafrashold import settings
 from sassafrashold import sockets
-from sassafrashold.front import _caller_connection
 from sassafrashold.front import _client_memory
+from sassafrashold.front import _connection_limits
 from sassafrashold.front import _metrics
 from sassafrashold.front import _request_bodies
 from sassafrashold.front import _request_log
@@ -61,7 +61,7 @@
             self._requests,
             wire,
             self.bodies,
-            _caller_connection.ConnectionLimits(
+            _connection_limits.ConnectionLimits(
                 memory=self.memory,
                 max_header_bytes=lambda: LIMITS.max_header_bytes,
                 max_connections=self._max_connections,
--- a/src/sassafrashold/front/tests/test_caller_limits.py
+++ b/src/sassafrashold/front/tests/test_caller_limits.py
@@ -15,7 +15,7 @@
 from sassafrashold import calls
 from sassafrashold import clock as clock_lib
 from sassafrashold import routing
-from sassafrashold.front import _caller_connection
+from sassafrashold.front import _connection_phases
 from sassafrashold.front import _requests
 from sassafrashold.front.tests import caller_server
 from sassafrashold.platform import wire
@@ -27,15 +27,15 @@
 @pytest.mark.parametrize(
     ("phase", "now", "overdue"),
     [
-        (_caller_connection.IdlePhase(0 * S), 59 * S, False),
-        (_caller_connection.IdlePhase(0 * S), 60 * S, True),
-        (_caller_connection.HeadPhase(10 * S), 12.9 * S, False),
-        (_caller_connection.HeadPhase(10 * S), 13 * S, True),
-        (_caller_connection.RequestPhase(), 1000 * S, False),
+        (_connection_phases.IdlePhase(0 * S), 59 * S, False),
+        (_connection_phases.IdlePhase(0 * S), 60 * S, True),
+        (_connection_phases.HeadPhase(10 * S), 12.9 * S, False),
+        (_connection_phases.HeadPhase(10 * S), 13 * S, True),
+        (_connection_phases.RequestPhase(), 1000 * S, False),
     ],
 )
 def test_is_overdue_applies_limit_of_phase(phase, now, overdue):
-    assert _caller_connection.is_overdue(phase, LIMITS, now) is overdue
+    assert _connection_phases.is_overdue(phase, LIMITS, now) is overdue
 
 
 def test_zero_disables_limit():
@@ -45,8 +45,8 @@
         header_timeout=0 * S,
         idle_timeout=0 * S,
     )
-    phase = _caller_connection.HeadPhase(0 * S)
-    assert not _caller_connection.is_overdue(phase, limits, 1000 * S)
+    phase = _connection_phases.HeadPhase(0 * S)
+    assert not _connection_phases.is_overdue(phase, limits, 1000 * S)
 
 
 _MINIMAL_TIMEOUT = datetime.timedelta(microseconds=1)
--- a/src/sassafrashold/front/tests/test_client_memory.py
+++ b/src/sassafrashold/front/tests/test_client_memory.py
@@ -298,7 +298,7 @@
 
 async def test_client_that_takes_no_byte_of_its_reply_is_closed(monkeypatch):
     monkeypatch.setattr(
-        "sassafrashold.front._caller_connection._REPLY_STALL_TIMEOUT",
+        "sassafrashold.front._connection_phases._REPLY_STALL_TIMEOUT",
         datetime.timedelta(milliseconds=50),
     )
     requests = _HeldRequestServer(b"a" * 10 * 2**20)
