Count the bytes behind a refused body

Callers saw: a host that ended. After the refusal of a body the HTTP library reads on for 10 s, and its parser keeps trailers as it does a head: 256 lines of 64 KiB. These bytes were not counted: 100 clients with 4 MB of trailers behind a body that was refused with 413 took 716 MB.

Change: bytes of a body count until the next request begins, also after the reply. New cases: trailers without end behind a refused body, and in a request of callers and of other hosts.

--- a/src/sassafrashold/front/_client_connection.py
+++ b/src/sassafrashold/front/_client_connection.py
@@ -176,8 +176,7 @@
             piece = bytes(self._unparsed[:_PIECE_BYTES])
             del self._unparsed[:_PIECE_BYTES]
             if self._receives_body:
-                if isinstance(self.phase, _connection_phases.RequestPhase):
-                    self._body_memory += _BODY_COPIES * len(piece)
+                self._body_memory += _BODY_COPIES * len(piece)
                 super().data_received(piece)
             else:
                 self._parse_head(piece)
@@ -255,6 +254,7 @@
             body: Reads the body of the request.
         """
         self._body = body
+        self._body_memory = 0
         self._enter(_connection_phases.RequestPhase())
         if self._unparsed:
             self._event_loop.call_soon(self._parse_received)
--- a/tests/platform/crowds.py
+++ b/tests/platform/crowds.py
@@ -147,6 +147,32 @@
             *[b"10000\r\n" + b"b" * 2**16 + b"\r\n"] * 64,
         ],
     ),
+    Crowd(
+        "trailers without end behind a refused body",
+        [
+            _POST + b"Transfer-Encoding: chunked\r\n\r\n",
+            b"%x\r\n" % (2 * LARGE_BODY_BYTES),
+            b"b" * (2 * LARGE_BODY_BYTES) + b"\r\n0\r\n",
+            *_lines(100, 40_000),
+        ],
+    ),
+    Crowd(
+        "trailers without end",
+        [
+            _POST + b"Transfer-Encoding: chunked\r\n\r\n",
+            b"1\r\nb\r\n0\r\n",
+            *_lines(100, 40_000),
+        ],
+    ),
+    Crowd(
+        "trailers without end",
+        [
+            _PEER_POST + b"Transfer-Encoding: chunked\r\n\r\n",
+            b"1\r\nb\r\n0\r\n",
+            *_lines(120, 8000),
+        ],
+        ("peers",),
+    ),
     Crowd(
         "bodies that stop before their end",
         [
