Keep hashes of the ids of failed requests, not the ids

Callers choose the ids, up to the size of a head, and each connection to a leaf kept up to 64 of them until it closed: 1 MB a connection, and a host has hundreds. Shown for one connection, not for a process.

Measured: the test kept 999,510 bytes of 60 ids of 16 KB, now under 100,000.

--- a/src/sassafrashold/front/_leaf_connection.py
+++ b/src/sassafrashold/front/_leaf_connection.py
@@ -30,7 +30,7 @@
 # A leaf that sends no keep-alive timeout keeps idle connections at least this
 # long.
 _DEFAULT_KEEP_ALIVE = datetime.timedelta(seconds=4)
-# A connection is replaced after this many failed requests, whose ids it keeps.
+# A connection is replaced after this many failed requests, whose ids it knows.
 _MAX_FAILED_IDS = 64
 # Idle connections are given up this long before the leaf closes them, so that
 # no request is in flight when it does.
@@ -71,7 +71,9 @@
         self._on_result: Callable[[calls.CallResult], None] | None = None
         self._received_eof = False
         self._was_used = False
-        self._failed_ids: set[str] = set()
+        # Hashes, as callers choose the ids; two ids with the same hash only
+        # cost a new connection.
+        self._failed_id_hashes: set[int] = set()
         self.max_idle_time = _DEFAULT_KEEP_ALIVE - _KEEP_ALIVE_MARGIN
 
     @property
@@ -94,7 +96,7 @@
         """
         if request_id is None:
             return not self._was_used
-        return request_id not in self._failed_ids
+        return hash(request_id) not in self._failed_id_hashes
 
     def send(
         self,
@@ -250,12 +252,12 @@
             message.code, message.raw_headers, body
         )
         if isinstance(result, calls.Failed) and self._request_id is not None:
-            self._failed_ids.add(self._request_id)
+            self._failed_id_hashes.add(hash(self._request_id))
         transport = self.transport
         reusable = (
             transport is not None
             and not message.should_close
-            and len(self._failed_ids) < _MAX_FAILED_IDS
+            and len(self._failed_id_hashes) < _MAX_FAILED_IDS
             and not self._pending_messages
             and not transport.get_write_buffer_size()
         )
--- a/src/sassafrashold/front/tests/test_leaf_pool.py
+++ b/src/sassafrashold/front/tests/test_leaf_pool.py
@@ -9,6 +9,7 @@
 import socket
 import struct
 import time
+import tracemalloc
 
 import pytest
 
@@ -16,6 +17,8 @@
 from sassafrashold import clock as clock_lib
 from sassafrashold import directory
 from sassafrashold import settings
+from sassafrashold.front import _answer_memory
+from sassafrashold.front import _leaf_connection
 from sassafrashold.front import _leaf_pool
 from sassafrashold.platform import wire
 
@@ -408,6 +411,40 @@
         assert leaf.connections == 2
 
 
+class _NullTransport(asyncio.Transport):
+    def write(self, data):
+        pass
+
+    def is_closing(self):
+        return False
+
+    def get_write_buffer_size(self):
+        return 0
+
+
+async def test_long_ids_of_failed_requests_are_not_kept():
+    """Callers choose the ids, and a host has hundreds of connections."""
+    connection = _leaf_connection.LeafConnection(
+        asyncio.get_running_loop(), wire, _answer_memory.AnswerMemory(2**30)
+    )
+    connection.connection_made(_NullTransport())
+    tracemalloc.start()
+    try:
+        for number in range(60):
+            request_id = f"{number:02}" + "a" * 16_000
+            connection.send(b"", request_id, True, lambda _: None)
+            connection.data_received(
+                _REJECTION.replace(b" a\r", b" %s\r" % request_id.encode())
+            )
+            assert connection.is_idle
+            assert not connection.may_carry(request_id)
+        kept_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert connection.may_carry("another")
+    assert kept_bytes < 100_000
+
+
 _ENDLESS = {
     "head": [b"HTTP/1.1 200 OK\r\n", [b"X-Any: " + b"y" * 1000 + b"\r\n"]],
     "line": [b"HTTP/1.1 200 OK\r\nX-Any: ", [_BLOCK]],
