Bound the cached answers to other hosts

Clients of the port for other hosts name the revisions that they have, and the answer to each combination was kept until the next change of the store's objects: without end for a client that names other revisions each time. Shown in a unit test, not for a process.

Change: at most 64 answers; the cache is emptied beyond that. Hosts of a zone differ by a few revisions.

--- a/src/sassafrashold/front/_peers.py
+++ b/src/sassafrashold/front/_peers.py
@@ -25,6 +25,8 @@
 # Short, because each answer also confirms that the other host still reads the
 # store.
 _LONG_POLL_TIMEOUT = datetime.timedelta(milliseconds=800)
+# Hosts of a zone differ by a few revisions; other clients may ask with any.
+_MAX_CACHED_ANSWERS = 64
 
 
 class PeerServer:
@@ -118,6 +120,8 @@
                 self._changes_since(known_revisions), separators=(",", ":")
             )
             answer = _peer_http.compress(text)
+            if len(self._answer_by_revisions) >= _MAX_CACHED_ANSWERS:
+                self._answer_by_revisions.clear()
             self._answer_by_revisions[key] = answer
         return answer
 
--- a/src/sassafrashold/front/tests/test_peer_answer_size.py
+++ b/src/sassafrashold/front/tests/test_peer_answer_size.py
@@ -6,6 +6,7 @@
 """
 
 import json
+import tracemalloc
 from typing import Any
 import zlib
 
@@ -119,3 +120,17 @@
     view.put_version(3)
     server.notify_followers()
     assert server.answer(known_revisions) != first
+
+
+def test_answers_to_unknown_revisions_are_not_kept_without_end(view):
+    """Any client of this port may ask with revisions of its own."""
+    server = _server(view)
+    tracemalloc.start()
+    try:
+        for revision in range(500):
+            server.answer({"configuration": 10**20 + revision})
+        kept_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    # Those of the hosts of a zone may be kept.
+    assert kept_bytes < 100 * len(server.answer({}))
