Keep the writers of clients that tests leave waiting

Two tests of this issue could not fail: Python closes a connection whose StreamWriter is no longer referenced, so the clients that were to be closed for others had closed their connections themselves. Shown with both limits of the product switched off: the two old tests passed (unread replies dropped, longest idle connection closed), the new ones fail; with the product as it is they pass. No assertion changed.

The set-up that four tests repeated is one function now.

--- a/src/sassafrashold/front/tests/test_client_memory.py
+++ b/src/sassafrashold/front/tests/test_client_memory.py
@@ -32,7 +32,7 @@
 @pytest.mark.parametrize(
     ("holdings", "given_up"),
     [
-        # Age in seconds, size, whether a request is served.
+        # Seconds before the last one, size, whether a request is served.
         ([(0, 60, False), (0, 40, False)], []),
         ([(0, 60, False), (0, 41, False)], [0]),
         ([(9, 30, False), (0, 71, False)], [0]),
@@ -139,7 +139,7 @@
 
 
 class _HeldRequestServer(caller_server.EchoRequestServer):
-    """Replies once it is told to."""
+    """Holds each request until `go_on` is set, then replies."""
 
     def __init__(self, body=b""):
         self.began = 0
@@ -152,6 +152,23 @@
         return _requests.Reply(200, (), self._body or request.body)
 
 
+def _replying_with(body):
+    requests = _HeldRequestServer(body)
+    requests.go_on.set()
+    return requests
+
+
+async def _open_reply(server):
+    """Sends a request and returns its connection after the reply's head.
+
+    A writer that is not referenced closes its connection.
+    """
+    reader, writer = await server.connect()
+    writer.write(_GET + b"\r\n")
+    await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2)
+    return reader, writer
+
+
 async def test_requests_behind_an_open_one_are_answered_in_order():
     requests = _HeldRequestServer()
     async with caller_server.RunningServer(requests) as server:
@@ -221,12 +238,9 @@
 
 async def test_reply_that_is_not_read_holds_its_size_until_it_stalls():
     reply_bytes = 10 * 2**20
-    requests = _HeldRequestServer(b"a" * reply_bytes)
-    requests.go_on.set()
+    requests = _replying_with(b"a" * reply_bytes)
     async with caller_server.RunningServer(requests) as server:
-        reader, writer = await server.connect()
-        writer.write(_GET + b"\r\n")
-        await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2)
+        reader, _writer = await _open_reply(server)
         assert reply_bytes < server.memory.total < 1.2 * reply_bytes
         data = await asyncio.wait_for(reader.readexactly(reply_bytes), 10)
         assert data == b"a" * reply_bytes
@@ -235,34 +249,28 @@
 
 
 async def test_unread_replies_are_dropped_for_other_clients():
-    requests = _HeldRequestServer(b"a" * 8 * 2**20)
-    requests.go_on.set()
+    requests = _replying_with(b"a" * 8 * 2**20)
     async with caller_server.RunningServer(
         requests, max_client_bytes=20 * 2**20
     ) as server:
         slow = []
         for _ in range(6):
-            reader, writer = await server.connect()
-            writer.write(_GET + b"\r\n")
-            await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2)
-            slow.append(reader)
+            slow.append(await _open_reply(server))
             assert server.memory.total <= 20 * 2**20
-        reader, writer = await server.connect()
-        writer.write(_GET + b"\r\n")
-        await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2)
+        reader, _writer = await _open_reply(server)
         assert len(await reader.readexactly(8 * 2**20)) == 8 * 2**20
         dropped = 0
         with contextlib.suppress(ConnectionError):
-            while data := await asyncio.wait_for(slow[0].read(2**16), 2):
+            while data := await asyncio.wait_for(slow[0][0].read(2**16), 2):
                 dropped += len(data)
         assert dropped < 8 * 2**20
 
 
 async def test_connections_over_the_limit_close_the_longest_idle():
     async with caller_server.RunningServer(max_connections=4) as server:
-        idle_reader, _ = await server.connect()
+        idle_reader, _idle_writer = await server.connect()
         await asyncio.sleep(0.02)
-        _, head_writer = await server.connect()
+        _head_reader, head_writer = await server.connect()
         head_writer.write(_GET)
         others = [await server.connect() for _ in range(2)]
         await asyncio.sleep(0.02)
@@ -301,12 +309,9 @@
         "sassafrashold.front._connection_phases._REPLY_STALL_TIMEOUT",
         datetime.timedelta(milliseconds=50),
     )
-    requests = _HeldRequestServer(b"a" * 10 * 2**20)
-    requests.go_on.set()
+    requests = _replying_with(b"a" * 10 * 2**20)
     async with caller_server.RunningServer(requests) as server:
-        reader, writer = await server.connect()
-        writer.write(_GET + b"\r\n")
-        await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2)
+        _connection = await _open_reply(server)
         async with asyncio.timeout(5):
             while server.server.connections:
                 server.close_overdue()
@@ -314,12 +319,9 @@
 
 
 async def test_drain_ends_connections_whose_reply_is_being_sent():
-    requests = _HeldRequestServer(b"a" * 10 * 2**20)
-    requests.go_on.set()
+    requests = _replying_with(b"a" * 10 * 2**20)
     async with caller_server.RunningServer(requests) as server:
-        reader, writer = await server.connect()
-        writer.write(_GET + b"\r\n")
-        await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2)
+        reader, _writer = await _open_reply(server)
         clock = clock_lib.SystemClock()
         server.server.drain(clock.monotonic() + 5 * S)
         closing = asyncio.create_task(server.server.close())
