--- a/src/sassafrashold/platform/tests/test_decoding.py
+++ b/src/sassafrashold/platform/tests/test_decoding.py
@@ -13,26 +13,7 @@
 from sassafrashold.platform import boot
 from sassafrashold.platform import documents
 from sassafrashold.platform import wire
-
-_BOOT = """\
-node_name=h1
-zone=z1
-ip=10.1.0.39
-listen.front=10.1.0.39:8226
-listen.ready=10.1.0.39:8227
-bootstrap=true
-listen.control=10.1.0.39:8224
-seeds=10.1.0.39:8224,10.2.0.33:8224
-bounds.drain_ms=3000
-bounds.grace_s=6
-bounds.retry_budget_ratio=0.2
-bounds.retry_budget_burst=56
-bounds.budget_window_s=10
-bounds.cold_burst_factor=1.5
-bounds.cold_slack=5
-platform.address=10.200.1.7:8229
-a.field.of.tomorrow=1
-"""
+from sassafrashold.platform.tests import boot_text
 
 _ROUTE = {
     "name": "r",
@@ -76,7 +57,7 @@
 
 
 def test_settings_are_read_and_unknown_fields_ignored():
-    values = boot.parse(_BOOT)
+    values = boot.parse(boot_text.BOOT)
     assert values.clients == settings.Address("10.1.0.39", 8226)
     assert values.bounds.drain == datetime.timedelta(seconds=3)
     assert values.peers == settings.Address("10.1.0.39", 8224)
@@ -97,7 +78,7 @@
 )
 def test_error_names_the_invalid_setting(old, new, field):
     with pytest.raises(errors.SettingsError) as caught:
-        boot.parse(_BOOT.replace(old, new))
+        boot.parse(boot_text.BOOT.replace(old, new))
     assert caught.value.field == field
     assert "expected" in caught.value.message
 
--- a/src/sassafrashold/platform/tests/test_limits_of_a_host.py
+++ b/src/sassafrashold/platform/tests/test_limits_of_a_host.py
@@ -4,6 +4,7 @@
 
 from sassafrashold.platform import boot
 from sassafrashold.platform import process
+from sassafrashold.platform.tests import boot_text
 
 _MB = 2**20
 # The process with its copy of the store, without clients and leaf answers.
@@ -12,22 +13,6 @@
 # What the platform's pages allow a client, and the largest answer of a leaf.
 _BODY_BYTES = 262_144
 _ANSWER_BYTES = 16 * _MB
-_SETTINGS = """
-node_name=h
-zone=z
-ip=127.0.0.1
-listen.front=127.0.0.1:1
-listen.ready=127.0.0.1:2
-listen.control=127.0.0.1:3
-bounds.drain_ms=3000
-bounds.grace_s=6
-bounds.retry_budget_ratio=0.2
-bounds.retry_budget_burst=56
-bounds.budget_window_s=10
-bounds.cold_burst_factor=1.5
-bounds.cold_slack=5
-platform.address=127.0.0.1:4
-"""
 
 
 @pytest.mark.parametrize(
@@ -35,7 +20,7 @@
 )
 def test_limits_fit_the_host_and_admit_fair_clients(memory_mb, max_fds):
     limits = f"limits.memory_mb={memory_mb}\nlimits.max_fds={max_fds}\n"
-    values = process.front_settings(boot.parse(_SETTINGS + limits), 0)
+    values = process.front_settings(boot.parse(boot_text.BOOT + limits), 0)
     assert (
         values.max_client_bytes + values.max_answer_bytes
         <= (memory_mb - _PROCESS_MB) * _MB
@@ -54,6 +39,6 @@
 
 
 def test_host_without_stated_limits_gets_defaults():
-    values = process.front_settings(boot.parse(_SETTINGS), 0)
+    values = process.front_settings(boot.parse(boot_text.BOOT), 0)
     assert values.max_client_bytes >= 2 * _ANSWER_BYTES
     assert values.max_caller_connections > 1000
--- a/src/sassafrashold/platform/tests/test_malformed_input.py
+++ b/src/sassafrashold/platform/tests/test_malformed_input.py
@@ -30,6 +30,7 @@
 from sassafrashold.platform import store_client
 from sassafrashold.platform import topics
 from sassafrashold.platform import wire
+from sassafrashold.platform.tests import boot_text
 from sassafrashold.platform.tests import test_decoding
 
 _EXTREMES: tuple[Any, ...] = (
@@ -287,11 +288,11 @@
     st.text()
     | st.builds(
         lambda position, text: (
-            test_decoding._BOOT[:position]
+            boot_text.BOOT[:position]
             + text
-            + test_decoding._BOOT[position + len(text) :]
+            + boot_text.BOOT[position + len(text) :]
         ),
-        st.integers(0, len(test_decoding._BOOT)),
+        st.integers(0, len(boot_text.BOOT)),
         st.text(max_size=6) | st.sampled_from(["1e999", "9" * 400, "nan", "="]),
     )
 )
