--- a/src/sassafrashold/front/_client_connection.py
+++ b/src/sassafrashold/front/_client_connection.py
@@ -85,7 +85,7 @@
         self._is_parsing = False
         self._body_memory = 0
         self._reply_memory = 0
-        self._refused = False
+        self._ignores_input = False
 
     @property
     def is_served(self) -> bool:
@@ -145,7 +145,7 @@
         # aiohttp passes no bytes when it goes on with those that it kept.
         if not data:
             super().data_received(data)
-        elif not self._refused:
+        elif not self._ignores_input:
             self._unparsed += data
             self._parse_received()
 
@@ -169,7 +169,7 @@
     def _parse_pieces(self) -> None:
         while (
             self._unparsed
-            and not self._refused
+            and not self._ignores_input
             and not self._awaits_reply
             and not self._reading_paused
         ):
@@ -200,7 +200,7 @@
             self._refuse_head()
 
     def _refuse_head(self) -> None:
-        self._refused = True
+        self._ignores_input = True
         self._unparsed.clear()
         self._limits.on_refusal(_connection_limits.Refusal.HEAD_TOO_LARGE)
         if self.transport is not None:
@@ -237,7 +237,7 @@
 
     def abort(self) -> None:
         """Closes the connection at once; unsent bytes are dropped."""
-        self._refused = True
+        self._ignores_input = True
         self._unparsed.clear()
         if self.transport is not None:
             self.transport.abort()
--- a/src/sassafrashold/front/_daemon.py
+++ b/src/sassafrashold/front/_daemon.py
@@ -63,7 +63,8 @@
     idle_timeout=datetime.timedelta(seconds=30),
 )
 # On the ports for readiness, metrics and other hosts. Connections to other
-# hosts are kept for less than this idle time by those.
+# hosts are kept for less than this idle time by those. aiohttp enforces the
+# limit on bodies, which is its own default.
 _INTERNAL_LIMITS = routing.ClientLimits(
     max_header_bytes=2**14,
     max_body_bytes=2**20,
