Don't answer "not run" for a request that a leaf has run

Cause: _failure_reply passed on every status of a failed leaf, also 408, 429 and 503 without Not-Executed. Ruled out: a leaf's rejection with Not-Executed, and calls that were not sent; both are answered by this host.

Change: these statuses of a failure after a run become 502 without the leaf's signature. This works since _failure_reply is the only place where a leaf's failure becomes a reply, and the statuses that it makes itself are chosen by `may_have_run`.

--- a/src/sassafrashold/calls/tests/call_world.py
+++ b/src/sassafrashold/calls/tests/call_world.py
@@ -83,8 +83,8 @@
             max_cold_rps=max_cold_rps,
             health_path="/health",
         )
-        table = routing.RouteTable(random.Random(1))
-        table.adopt(
+        self.table = routing.RouteTable(random.Random(1))
+        self.table.adopt(
             configuration(
                 1, (self.route,), dict.fromkeys(self.services, limits)
             )
@@ -99,7 +99,7 @@
         self.state = calls.CallState(
             "z1",
             self.directory,
-            table,
+            self.table,
             calls.LimitShare(
                 hosts=names,
                 own_host="h0",
--- a/src/sassafrashold/front/_requests.py
+++ b/src/sassafrashold/front/_requests.py
@@ -48,6 +48,8 @@
 # Retry-After while no configuration is known. A host has usually read its first
 # one by then.
 _CONFIGURATION_RETRY_DELAY = datetime.timedelta(milliseconds=500)
+# Statuses that promise that the request has not run and never will.
+_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Memory to serve a request, and for its call to each service.
 _REQUEST_BYTES = 8 * 1024
 _SERVICE_CALL_BYTES = 1536
@@ -449,6 +451,7 @@
             failure is not None
             and failure.kind is calls.FailureKind.ERROR
             and failure.answer is not None
+            and failure.answer.status not in _NOT_RUN_STATUSES
         ):
             answer = failure.answer
             return Reply(
