Count a group of shards as sent before its first call

What callers would see: 503, which promises that a query has not run, while leafs of one of its groups work on it, because another group has no leaf.

Cause: a group that this host gathers itself was marked as sent with its first parts only.

Change: the exchange tells before its first call. The reply is 502 or 504 from then on.

--- a/src/sassafrashold/front/_exchange.py
+++ b/src/sassafrashold/front/_exchange.py
@@ -1,6 +1,7 @@
 """Sends the leaf calls of one request and collects their results."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Iterable
 import datetime
 import functools
@@ -28,6 +29,7 @@
         request: calls.ClientRequest,
         deadline: datetime.timedelta,
         at_most_once: bool,
+        on_sent: Callable[[], None] = lambda: None,
     ) -> None:
         """Initializes the exchange.
 
@@ -37,7 +39,9 @@
             request: Request of the caller.
             deadline: Monotonic time at which leafs stop working on it.
             at_most_once: Whether the request must not run more than once.
+            on_sent: Called before the first call to a leaf.
         """
+        self._on_sent = on_sent
         self._pool = pool
         self._clock = clock
         self._request = request
@@ -49,6 +53,7 @@
             calls.Send, calls.ServiceCall
         ] = {}
         self._wake = asyncio.Event()
+        self._was_sent = False
         self._started_at = clock.monotonic()
         self._trail: list[str] = []
 
@@ -57,6 +62,9 @@
         now = self._clock.monotonic()
         time_left = self._deadline - now
         for send in sends:
+            if not self._was_sent:
+                self._was_sent = True
+                self._on_sent()
             if send.extra or self._trail:
                 self._record_step(now, "extra call to", send, "")
             self._call_by_send[send] = self._pool.call(
--- a/src/sassafrashold/front/_gathering.py
+++ b/src/sassafrashold/front/_gathering.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 import dataclasses
 import datetime
+import functools
 import logging
 from typing import Any
 from typing import Protocol
@@ -155,6 +156,7 @@
         max_missing: int,
         on_parts: OnParts,
         repeated: bool = False,
+        on_sent: Callable[[], None] = lambda: None,
     ) -> dict[str, Any]:
         """Gathers some of the shards of a query.
 
@@ -169,12 +171,13 @@
             on_parts: Called with the parts.
             repeated: Whether another host may have sent the query to the
                 shards already.
+            on_sent: Called before the first call to a leaf.
 
         Returns:
             Fields of a log line that explain the result.
         """
         plan = self._new_plan(query, shards)
-        exchange = self._new_exchange(query)
+        exchange = self._new_exchange(query, on_sent)
         reported: set[int] = set()
         is_first = True
         try:
@@ -251,13 +254,16 @@
             self._state, query.route, query.gather, query.times, shards
         )
 
-    def _new_exchange(self, query: Query) -> _exchange.Exchange:
+    def _new_exchange(
+        self, query: Query, on_sent: Callable[[], None] = lambda: None
+    ) -> _exchange.Exchange:
         return _exchange.Exchange(
             self._pool,
             self._clock,
             query.request,
             query.leaf_deadline,
             at_most_once=False,
+            on_sent=on_sent,
         )
 
     async def _advance(
@@ -418,6 +424,7 @@
                             max_missing,
                             on_parts,
                             may_have_run,
+                            functools.partial(maybe_sent.add, group),
                         )
                     )
         finally:
--- a/src/sassafrashold/front/tests/test_divided_gather.py
+++ b/src/sassafrashold/front/tests/test_divided_gather.py
@@ -82,8 +82,10 @@
         self._sent = sent
 
     async def gather(
-        self, _query, shards, _max_missing, on_parts, repeated=False
+        self, _query, shards, _max_missing, on_parts, repeated, on_sent
     ):
+        if self._sent:
+            on_sent()
         self.asked.append((shards, repeated))
         await on_parts(_parts(shards if self._sent else (), True, self._sent))
         return {"trail": []}
@@ -299,3 +301,26 @@
     received, _ = await _gather_here(pool, 0, end_ms=300)
     assert received == [([], False), ([], True)]
     assert pool.cancelled == 3
+
+
+async def test_query_fails_as_sent_while_one_of_its_groups_is_at_leafs():
+    # Guards against 503, which promises "not run", while leafs of the second
+    # group work: no leaf of the first group is known.
+    world = call_world.World(10)
+    entries = [
+        call_world.entry(_SERVICES[shard], "z1") for shard in _GROUPS[1].shards
+    ]
+    world.directory.replace_all(entries, 0 * _MS)
+    divided = _gathering.DividedGather(
+        _gathering.LocalGather(
+            world.state, cast(Any, _Pool(dict.fromkeys(_SERVICES))), _CLOCK
+        ),
+        _Remote(z1=_decline, z2=_decline),
+        _CLOCK,
+    )
+    query = dataclasses.replace(
+        _query(), gather=world.gather, route=world.route
+    )
+    outcome, _ = await divided.gather(query, _GROUPS)
+    assert not outcome.enough
+    assert outcome.sent
