Take a leaf's answer with a control character in a header as unreadable

Cause: the lenient parser of answers passes these bytes on, and the HTTP library refuses to write them when the handler has already returned. Ruled out: names of headers (the parser takes tokens only, tried with all 256 bytes) and the reason phrase (not passed on).

Change: LeafConnection fails the call, as for other unreadable answers. It works for single and gathered requests alike, since every answer of a leaf is read there.

--- a/src/sassafrashold/front/_leaf_connection.py
+++ b/src/sassafrashold/front/_leaf_connection.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import datetime
 import logging
+import re
 from typing import Any
 from typing import cast
 
@@ -27,6 +28,9 @@
 # HTTP has no other statuses; the parser takes any three digits.
 _MIN_STATUS = 100
 _MAX_STATUS = 599
+# Control characters that HTTP forbids in the value of a header. The parser of
+# answers takes all but line ends and NUL.
+_FORBIDDEN_IN_HEADER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 # A leaf that sends no keep-alive timeout keeps idle connections at least this
 # long.
 _DEFAULT_KEEP_ALIVE = datetime.timedelta(seconds=4)
@@ -218,6 +222,10 @@
             if not _MIN_STATUS <= message.code <= _MAX_STATUS:
                 self._fail(f"unreadable answer: status {message.code:03}")
                 return
+            for name, value in message.raw_headers:
+                if _FORBIDDEN_IN_HEADER.search(value):
+                    self._fail(f"unreadable answer: control character, {name}")
+                    return
             error = payload.exception()
             if error is not None:
                 self._fail(f"unreadable answer: {error}")
--- a/src/sassafrashold/front/tests/test_leaf_pool.py
+++ b/src/sassafrashold/front/tests/test_leaf_pool.py
@@ -411,6 +411,44 @@
         assert leaf.connections == 2
 
 
+@pytest.mark.parametrize("status", [b"200 OK", b"500 No"])
+@pytest.mark.parametrize(
+    "name", [b"Server-Stamp", b"Content-Type", b"X-Any", b"Keep-Alive"]
+)
+@pytest.mark.parametrize(
+    "byte", [b"%c" % code for code in (*range(9), *range(10, 32), 127)]
+)
+async def test_answer_with_a_control_character_in_a_header_is_no_answer(
+    byte, name, status
+):
+    """Guards against replies that can't be written.
+
+    Callers' connections were closed without an answer (review/8).
+    """
+    answer = _ok_answer(b"a").replace(b"200 OK", status)
+    field = name + b": x" + byte + b"y\r\n"
+    async with _ScriptedLeaf() as leaf:
+        leaf.chunks_by_request = [
+            [answer.replace(b"Content-Length", field + b"Content-Length")]
+        ]
+        result = await leaf.send_request("a")
+        assert isinstance(result, calls.Failed)
+        # The line ends among them end the header; the rest isn't one.
+        assert result.kind is calls.FailureKind.LOST
+        assert result.answer is None
+
+
+async def test_tab_in_a_header_is_passed_on():
+    answer = _ok_answer(b"a").replace(
+        b"Content-Length", b"X: a\tb\r\nContent-Length"
+    )
+    async with _ScriptedLeaf() as leaf:
+        leaf.chunks_by_request = [[answer]]
+        result = await leaf.send_request("a")
+        assert isinstance(result, calls.Answered)
+        assert ("X", "a\tb") in result.answer.headers()
+
+
 class _NullTransport(asyncio.Transport):
     def write(self, data):
         pass
--- a/src/sassafrashold/standins/records_leaf.py
+++ b/src/sassafrashold/standins/records_leaf.py
@@ -31,6 +31,9 @@
     NO_STATUS = "no_status"
     """A whole answer whose status is 000."""
 
+    CONTROL_CHARACTER = "control_character"
+    """A whole answer with a control character in its signature."""
+
 
 @dataclasses.dataclass(frozen=True)
 class Run:
@@ -188,6 +191,10 @@
             case AnswerFault.NO_STATUS:
                 transport.write(answer.replace(b"200 OK", b"000 OK", 1))
                 transport.close()
+            case AnswerFault.CONTROL_CHARACTER:
+                name = b"Server-Stamp: "
+                transport.write(answer.replace(name, name + b"\x01", 1))
+                transport.close()
             case None:
                 pass
 
--- a/tests/platform/test_front_processes.py
+++ b/tests/platform/test_front_processes.py
@@ -87,6 +87,23 @@
     assert answer.status in {502, 504}
 
 
+@pytest.mark.parametrize("path", ["/one/x", "/once/x", "/all/x"])
+async def test_control_character_in_a_leafs_header_leaves_the_caller_an_answer(
+    harness, path
+):
+    # review/8: the caller's connection was closed without an answer.
+    for leaf in harness.leafs:
+        leaf.answer_fault = records_leaf.AnswerFault.CONTROL_CHARACTER
+    answer = await harness.send_request(path, "r1", method="POST")
+    assert answer.status in {502, 504}
+    assert "Server-Stamp" not in answer.headers
+    for leaf in harness.leafs:
+        if leaf.service in {"single", "shard-a"}:
+            leaf.answer_fault = None
+    answer = await harness.send_request("/one/x", "r2")
+    assert answer.status == 200
+
+
 async def test_request_rejected_by_all_leafs_gets_503_with_retry_after(harness):
     for zone in platform_harness.ZONES:
         harness.leaf("single", zone).reject = True
