Don't list a leaf's spoilt signature in a gathered answer

What callers would see: a gathered answer that they discard whole, since one entry of its signatures is empty, is split by a comma, or has lost a byte over 0x7f on the way.

Cause: any value of the header counted as a signature.

Change: only visible ASCII without the comma does; other successes are lost like those without a signature, so another leaf is asked. Parts gathered by another host are checked the same way.

--- a/src/sassafrashold/aggregation/_messages.py
+++ b/src/sassafrashold/aggregation/_messages.py
@@ -147,7 +147,7 @@
             raise ValueError("line not complete")
         document = json.loads(line)
         signature_by_shard = {
-            _index(shard): _text(signature)
+            _index(shard): _signature(signature)
             for shard, signature in document["parts"]
         }
         if len(signature_by_shard) != len(document["parts"]):
@@ -180,6 +180,12 @@
     return value
 
 
+def _signature(value: Any) -> str:
+    if not calls.is_signature(_text(value)):
+        raise ValueError(f"{value!r} is not a signature")
+    return value
+
+
 def _boolean(value: Any) -> bool:
     if not isinstance(value, bool):
         raise ValueError(f"{value!r} is not a boolean")
--- a/src/sassafrashold/calls/__init__.py
+++ b/src/sassafrashold/calls/__init__.py
@@ -16,6 +16,7 @@
 from sassafrashold.calls._messages import Failed
 from sassafrashold.calls._messages import FailureKind
 from sassafrashold.calls._messages import LeafAnswer
+from sassafrashold.calls._messages import is_signature
 from sassafrashold.calls._part_merger import PartMerger
 from sassafrashold.calls._part_merger import proportional_shares
 from sassafrashold.calls._reach import FAILED_LEAFS_UNTIL_UNREACHABLE
@@ -49,6 +50,7 @@
     "ZoneFailover",
     "ZoneReach",
     "greatest_records",
+    "is_signature",
     "proportional_shares",
     "unreachable_if_too_few",
 ]
--- a/src/sassafrashold/calls/_messages.py
+++ b/src/sassafrashold/calls/_messages.py
@@ -4,6 +4,19 @@
 import dataclasses
 import datetime
 import enum
+import re
+
+# Signatures are passed on in a header, and in a list separated by commas.
+_SIGNATURE = re.compile(r"[!-+\--~]+")
+
+
+def is_signature(text: str) -> bool:
+    """Returns whether a text can be passed on as the signature of an answer.
+
+    Args:
+        text: Value of the header, as a leaf sent it.
+    """
+    return _SIGNATURE.fullmatch(text) is not None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/sassafrashold/platform/tests/test_decoding.py
+++ b/src/sassafrashold/platform/tests/test_decoding.py
@@ -207,6 +207,25 @@
             assert result.kind is expected, (status, headers)
 
 
+@pytest.mark.parametrize(
+    "signature",
+    [b"", b" ", b"a,b", b"a b", b"a\tb", b"a\x7f", b"a\xe9", b"\xff"],
+)
+def test_success_with_a_spoilt_signature_is_lost(signature):
+    # Guards against one spoilt byte that makes a whole gathered answer wrong:
+    # callers read a list of signatures, and these can't be listed unchanged.
+    result = wire.leaf_answer(200, ((b"Server-Stamp", signature),), b"")
+    assert isinstance(result, calls.Failed)
+    assert result.kind is calls.FailureKind.LOST
+
+
+def test_every_visible_character_but_the_comma_may_be_in_a_signature():
+    text = bytes(code for code in range(33, 127) if code != ord(","))
+    result = wire.leaf_answer(200, ((b"Server-Stamp", text),), b"")
+    assert isinstance(result, calls.Answered)
+    assert result.answer.signature == text.decode()
+
+
 def test_configuration_decodes_from_json():
     text = json.dumps(_CONFIGURATION)
     assert documents.configuration("k", json.loads(text)).version == 7
--- a/src/sassafrashold/platform/wire.py
+++ b/src/sassafrashold/platform/wire.py
@@ -156,7 +156,7 @@
         status=status,
         headers=functools.partial(_returned_headers, headers),
         body=body,
-        signature=_decode_text(value_by_name.get(_SIGNATURE_KEY)),
+        signature=_decode_signature(value_by_name.get(_SIGNATURE_KEY)),
         not_run=_NOT_RUN_KEY in value_by_name,
         encoded=encoding.strip().lower() != b"identity",
     )
@@ -217,6 +217,11 @@
     return value.decode("utf-8", "surrogateescape").strip()
 
 
+def _decode_signature(value: bytes | None) -> str | None:
+    text = _decode_text(value)
+    return text if text is not None and calls.is_signature(text) else None
+
+
 def _parse_milliseconds(text: str | None) -> datetime.timedelta | None:
     if not text:
         return None
