Count connections from the moment they are accepted

Cause: asyncio's server hands over a connection two turns of the event loop after it has accepted it, and only then was it counted. Closing the socket left such connections to be set up; "all closed" was taken as the end of the drain, and the request was read after it. Ruled out: connections in the kernel's queue (reset unread when the socket closes, which is allowed), and requests on counted connections (test_end_of_drain.py covers them).

Change: every port of the front daemon accepts its connections itself and counts each in the same step. Closing a port returns once all of them have been handed over, so that the count can only fall from then on. That holds by structure and needs no longer wait; no time was changed. Internal ports end in the same way, until the end of the drain.

--- a/src/sassafrashold/aggregation/_messages.py
+++ b/src/sassafrashold/aggregation/_messages.py
@@ -181,9 +181,10 @@
 
 
 def _signature(value: Any) -> str:
-    if not calls.is_signature(_text(value)):
+    text = _text(value)
+    if not calls.is_signature(text):
         raise ValueError(f"{value!r} is not a signature")
-    return value
+    return text
 
 
 def _boolean(value: Any) -> bool:
--- a/src/sassafrashold/front/_client_connection.py
+++ b/src/sassafrashold/front/_client_connection.py
@@ -127,6 +127,10 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begins to count the memory of the connection."""
         super().connection_made(transport)
+        if self._ignores_input:
+            # Closed while it was being set up.
+            self.abort()
+            return
         # A reply ends once all its bytes were passed to the kernel.
         cast(asyncio.Transport, transport).set_write_buffer_limits(high=0)
         self._update_memory()
--- a/src/sassafrashold/front/_connection_server.py
+++ b/src/sassafrashold/front/_connection_server.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import datetime
 import heapq
+import logging
 from typing import Any
 from typing import cast
 
@@ -15,6 +16,9 @@
 from sassafrashold.front import _connection_limits
 from sassafrashold.front import _connection_phases
 
+_LOGGER = logging.getLogger(__name__)
+# Time that the HTTP library is given, twice, to end what is left.
+_FLUSH_TIME_S = 0.05
 # Idle timeout that aiohttp enforces; `close_overdue` enforces the configured
 # one.
 _MAX_KEEP_ALIVE_S = 3600.0
@@ -49,13 +53,12 @@
             handler_cancellation=True,
         )
         self._limits = limits
-        self.all_closed = asyncio.Event()
-        """Set while no connection is open."""
-        self.all_closed.set()
+        self._all_closed = asyncio.Event()
+        self._all_closed.set()
         # aiohttp lists connections until their task has ended.
         self._open: dict[_client_connection.ClientConnection, None] = {}
-        self.closes_idle = False
-        """Whether a connection ends once its reply has been sent."""
+        # Whether a connection ends once its reply has been sent.
+        self._closes_idle = False
         self._connection_arguments = {
             "keepalive_timeout": _MAX_KEEP_ALIVE_S,
             "max_line_size": _MAX_LINE_BYTES,
@@ -65,12 +68,33 @@
             **kwargs,
         }
 
+    @property
+    def open_connections(self) -> int:
+        """Number of open connections, with those that are being set up."""
+        return len(self._open)
+
+    def admit(self) -> _client_connection.ClientConnection:
+        """Returns a new connection, which counts as open from now on.
+
+        The caller sets it up, or else passes it to `forget`.
+        """
+        connection = self()
+        self._open[connection] = None
+        self._all_closed.clear()
+        return connection
+
+    def forget(self, connection: _client_connection.ClientConnection) -> None:
+        """Stops counting a connection as open."""
+        self._open.pop(connection, None)
+        if not self._open:
+            self._all_closed.set()
+
     def __call__(self) -> _client_connection.ClientConnection:
         """Creates the protocol object of a new connection."""
         return _client_connection.ClientConnection(
             self,
             self._limits,
-            lambda: self.closes_idle,
+            lambda: self._closes_idle,
             loop=asyncio.get_running_loop(),
             **self._connection_arguments,
         )
@@ -78,11 +102,9 @@
     def connection_made(
         self, handler: web.RequestHandler, transport: asyncio.Transport
     ) -> None:
-        """Records a connection; called by aiohttp."""
+        """Applies the limit on connections; called by aiohttp."""
         super().connection_made(handler, transport)
-        self.all_closed.clear()
         connection = cast(_client_connection.ClientConnection, handler)
-        self._open[connection] = None
         if len(self._open) > self._limits.max_connections:
             self._close_for(connection)
 
@@ -91,17 +113,37 @@
     ) -> None:
         """Records that a connection has ended; called by aiohttp."""
         super().connection_lost(handler, exc)
-        self._open.pop(cast(_client_connection.ClientConnection, handler), None)
-        if not self._open:
-            self.all_closed.set()
+        self.forget(cast(_client_connection.ClientConnection, handler))
+
+    async def close(self, end: float) -> None:
+        """Closes idle connections, and others once their reply is sent.
 
-    def close_idle(self) -> None:
+        Requests whose bodies are being received are read and served. The
+        listener must have been stopped: when this returns, no request is read
+        any more.
+
+        Args:
+            end: Event loop time at which connections that are still open are
+                cut.
+        """
+        self._close_idle()
+        try:
+            async with asyncio.timeout_at(end):
+                await self._all_closed.wait()
+        except TimeoutError:
+            _LOGGER.info(
+                "connections open at the end of the drain",
+                extra={"connections": len(self._open)},
+            )
+        await self.shutdown(_FLUSH_TIME_S)
+
+    def _close_idle(self) -> None:
         """Closes the connections without a request.
 
         aiohttp's `pre_shutdown` would make the others ignore all further bytes,
         also those of a body that is being received.
         """
-        self.closes_idle = True
+        self._closes_idle = True
         for connection in list(self._open):
             if isinstance(connection.phase, _connection_phases.IdlePhase):
                 connection.force_close()
--- a/src/sassafrashold/front/_daemon.py
+++ b/src/sassafrashold/front/_daemon.py
@@ -6,6 +6,7 @@
 import datetime
 import logging
 import random
+import socket
 from typing import Any
 
 from aiohttp import web
@@ -16,7 +17,6 @@
 from sassafrashold import directory as directory_lib
 from sassafrashold import relay
 from sassafrashold import routing
-from sassafrashold import settings
 from sassafrashold import sockets
 from sassafrashold import telemetry
 from sassafrashold.front import _aggregation
@@ -27,6 +27,7 @@
 from sassafrashold.front import _health_sharing
 from sassafrashold.front import _interfaces
 from sassafrashold.front import _leaf_pool
+from sassafrashold.front import _listener
 from sassafrashold.front import _metrics
 from sassafrashold.front import _peer_http
 from sassafrashold.front import _peers
@@ -54,7 +55,6 @@
 # After the store is back, entries that lapsed during the outage are listed
 # again within this time.
 _RELISTING_TIME = datetime.timedelta(seconds=2)
-_LISTEN_BACKLOG = 64
 # Before the first configuration is known.
 _UNCONFIGURED_LIMITS = routing.ClientLimits(
     max_header_bytes=2**16,
@@ -155,7 +155,8 @@
             self._view_complete,
             self._client_memory,
         )
-        self._internal_servers: list[_connection_server.ConnectionServer] = []
+        # On the ports that callers don't use.
+        self._internal_listeners: list[_listener.Listener] = []
         self._server = _server.CallerServer(
             self._requests,
             protocol,
@@ -250,9 +251,9 @@
         now = self._clock.monotonic()
         self._requests.start_queue.started(now, now - self._listeners.opened)
         await self._server.start(self._listeners.clients)
-        runners = [await self._serve_readiness(), await self._serve_peers()]
-        if self._values.metrics_address is not None:
-            runners.append(await self._serve_metrics())
+        self._serve_readiness()
+        self._serve_peers()
+        self._serve_metrics()
         tasks = [
             asyncio.create_task(self._exit_on_failure(task))
             for task in (
@@ -264,12 +265,15 @@
             )
         ]
         await stopping.wait()
-        await self._drain()
+        drain_deadline = (
+            self._clock.monotonic()
+            + self._values.shutdown_grace * _MAX_DRAIN_RATIO
+        )
+        await self._drain(drain_deadline)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        for runner in runners:
-            await runner.cleanup()
+        await self._close_internal_ports(drain_deadline)
         await self._peer_http.close()
         self._pool.close()
 
@@ -284,11 +288,8 @@
             _LOGGER.exception("task failed")
             raise SystemExit(1) from None
 
-    async def _drain(self) -> None:
+    async def _drain(self, drain_deadline: datetime.timedelta) -> None:
         drain_start = self._clock.monotonic()
-        drain_deadline = (
-            drain_start + self._values.shutdown_grace * _MAX_DRAIN_RATIO
-        )
         self._stopping = True
         self._server.drain(drain_deadline)
         accept_deadline = drain_start + min(
@@ -309,6 +310,20 @@
             "drained", extra={"open_requests": self._server.open_requests}
         )
 
+    async def _close_internal_ports(
+        self, drain_deadline: datetime.timedelta
+    ) -> None:
+        time_left = drain_deadline - self._clock.monotonic()
+        end = asyncio.get_running_loop().time() + time_left.total_seconds()
+        for listener in self._internal_listeners:
+            await listener.stop()
+        await asyncio.gather(
+            *(
+                listener.server.close(end)
+                for listener in self._internal_listeners
+            )
+        )
+
     def _on_view_change(self) -> None:
         if self._view.is_complete:
             self._view_complete.set()
@@ -324,8 +339,8 @@
             self._view.forget_expired()
             self._pool.close_idle(self._idle_limit)
             self._server.close_overdue(self._client_limits())
-            for server in self._internal_servers:
-                server.close_overdue(_INTERNAL_LIMITS)
+            for listener in self._internal_listeners:
+                listener.server.close_overdue(_INTERNAL_LIMITS)
 
     def _log_avoided_leaf(
         self, ref: directory_lib.LeafRef, strikes: int
@@ -389,7 +404,7 @@
             aggregation.weight_by_host(peers),
         )
 
-    async def _serve_peers(self) -> web.ServerRunner:
+    def _serve_peers(self) -> None:
         async def handle(request: web.BaseRequest) -> web.StreamResponse:
             if request.path == _health_sharing.HEALTH_PATH:
                 return await self._health.handle(request)
@@ -397,24 +412,26 @@
                 return await self._aggregation_server.handle(request)
             return await self._peer_server.handle(request)
 
-        runner = await self._set_up_runner(
-            handle, self._values.max_peer_connections
+        self._serve_internal(
+            handle,
+            sockets.listening_socket(self._values.peer_address),
+            self._values.max_peer_connections,
         )
-        return await _listen(runner, self._values.peer_address)
 
-    async def _serve_readiness(self) -> web.ServerRunner:
+    def _serve_readiness(self) -> None:
         async def handle(request: web.BaseRequest) -> web.Response:
             if request.path != self._values.readiness_path:
                 return web.Response(status=404)
             return web.Response(status=200 if self.is_ready else 503)
 
-        runner = await self._set_up_runner(handle, _MAX_PROBE_CONNECTIONS)
-        await web.SockSite(
-            runner, self._listeners.readiness, backlog=_LISTEN_BACKLOG
-        ).start()
-        return runner
+        self._serve_internal(
+            handle, self._listeners.readiness, _MAX_PROBE_CONNECTIONS
+        )
+
+    def _serve_metrics(self) -> None:
+        if self._values.metrics_address is None:
+            return
 
-    async def _serve_metrics(self) -> web.ServerRunner:
         async def handle(_request: web.BaseRequest) -> web.Response:
             self._set_gauges()
             return web.Response(
@@ -422,15 +439,25 @@
                 headers={"Content-Type": _metrics.CONTENT_TYPE},
             )
 
-        address = self._values.metrics_address
-        assert address is not None
-        runner = await self._set_up_runner(handle, _MAX_PROBE_CONNECTIONS)
-        return await _listen(runner, address)
+        self._serve_internal(
+            handle,
+            sockets.listening_socket(self._values.metrics_address),
+            _MAX_PROBE_CONNECTIONS,
+        )
+
+    def _serve_internal(
+        self,
+        handler: _connection_server.Handler,
+        sock: socket.socket,
+        max_connections: int,
+    ) -> None:
+        """Serves a port that callers don't use.
 
-    async def _set_up_runner(
-        self, handler: _connection_server.Handler, max_connections: int
-    ) -> web.ServerRunner:
-        """Sets up the server of a port that callers don't use."""
+        Args:
+            handler: Handles the requests.
+            sock: A socket that listens.
+            max_connections: Limit on its connections.
+        """
         server = _connection_server.ConnectionServer(
             handler,
             _connection_limits.ConnectionLimits(
@@ -440,10 +467,9 @@
                 on_refusal=self._note_refusal,
             ),
         )
-        self._internal_servers.append(server)
-        runner = web.ServerRunner(server)
-        await runner.setup()
-        return runner
+        listener = _listener.Listener(server, sock)
+        listener.start()
+        self._internal_listeners.append(listener)
 
     def _set_gauges(self) -> None:
         current = self._table.current
@@ -466,12 +492,3 @@
             ("sassafras_log_lines_left_out", self._log.left_out),
         ):
             self._metrics.set_gauge(name, float(value or 0))
-
-
-async def _listen(
-    runner: web.ServerRunner, address: settings.Address
-) -> web.ServerRunner:
-    await web.TCPSite(
-        runner, address.ip, address.port, backlog=_LISTEN_BACKLOG
-    ).start()
-    return runner
--- a/src/sassafrashold/front/_server.py
+++ b/src/sassafrashold/front/_server.py
@@ -15,13 +15,13 @@
 from sassafrashold.front import _connection_limits
 from sassafrashold.front import _connection_server
 from sassafrashold.front import _interfaces
+from sassafrashold.front import _listener
 from sassafrashold.front import _metrics
 from sassafrashold.front import _request_bodies
 from sassafrashold.front import _request_log
 from sassafrashold.front import _requests
 
 _LOGGER = logging.getLogger(__name__)
-_BACKLOG = 1024
 # Retry-After while the bodies of open requests fill their memory.
 _BODIES_FULL_RETRY_DELAY = datetime.timedelta(seconds=1)
 # Time to read a body if its caller sends no deadline.
@@ -29,8 +29,6 @@
 _CLIENT_CLOSED_STATUS = 499
 # Time to send the replies to requests that the drain has ended.
 _REPLY_TIME_S = 0.1
-# Time that the HTTP library is given, twice, to end what is left.
-_FLUSH_TIME_S = 0.05
 
 
 class CallerServer:
@@ -69,8 +67,7 @@
         self._log = log
         self._clock = clock
         self._server: _connection_server.ConnectionServer | None = None
-        self._runner: web.ServerRunner | None = None
-        self._sites: list[web.SockSite] = []
+        self._listener: _listener.Listener | None = None
         self._draining = False
         # Monotonic time at which open requests are ended; None until the drain.
         self._answer_by: datetime.timedelta | None = None
@@ -89,11 +86,8 @@
             self._connection_limits,
             auto_decompress=False,
         )
-        self._runner = web.ServerRunner(self._server)
-        await self._runner.setup()
-        site = web.SockSite(self._runner, listener, backlog=_BACKLOG)
-        await site.start()
-        self._sites.append(site)
+        self._listener = _listener.Listener(self._server, listener)
+        self._listener.start()
 
     def drain(self, answer_by: datetime.timedelta) -> None:
         """Makes each further reply close its connection.
@@ -119,7 +113,7 @@
     @property
     def connections(self) -> int:
         """Number of open connections of callers."""
-        return 0 if self._server is None else len(self._server.connections)
+        return 0 if self._server is None else self._server.open_connections
 
     def close_overdue(self, limits: routing.ClientLimits) -> None:
         """Closes connections over the idle or the header timeout.
@@ -138,9 +132,12 @@
             )
 
     async def stop_accepting(self) -> None:
-        """Closes the listening socket; open connections continue."""
-        for site in self._sites:
-            await site.stop()
+        """Closes the listening socket; open connections continue.
+
+        All connections that were accepted are open when this returns.
+        """
+        if self._listener is not None:
+            await self._listener.stop()
 
     async def close(self) -> None:
         """Closes idle connections, and others once their request ends.
@@ -150,20 +147,8 @@
         """
         if self._server is None:
             return
-        self._server.close_idle()
         end = self._end_of_requests() or asyncio.get_running_loop().time()
-        try:
-            async with asyncio.timeout_at(end + _REPLY_TIME_S):
-                await self._server.all_closed.wait()
-        except TimeoutError:
-            _LOGGER.info(
-                "connections open at the end of the drain",
-                extra={
-                    "connections": self.connections,
-                    "open_requests": self.open_requests,
-                },
-            )
-        await self._server.shutdown(_FLUSH_TIME_S)
+        await self._server.close(end + _REPLY_TIME_S)
 
     async def _handle(self, message: web.BaseRequest) -> web.StreamResponse:
         arrived_at = self._clock.monotonic()
--- a/src/sassafrashold/front/tests/caller_server.py
+++ b/src/sassafrashold/front/tests/caller_server.py
@@ -71,7 +71,7 @@
             clock,
         )
         listener = sockets.listening_socket(settings.Address("127.0.0.1", 0))
-        self._port = listener.getsockname()[1]
+        self.port = listener.getsockname()[1]
         await self.server.start(listener)
         return self
 
@@ -80,7 +80,7 @@
         await self.server.close()
 
     async def connect(self):
-        return await asyncio.open_connection("127.0.0.1", self._port)
+        return await asyncio.open_connection("127.0.0.1", self.port)
 
     def close_overdue(self, **limits):
         values = {"header_timeout": 100 * S, "idle_timeout": 100 * S, **limits}
--- a/src/sassafrashold/front/tests/test_end_of_drain.py
+++ b/src/sassafrashold/front/tests/test_end_of_drain.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import socket
 from typing import Any
 from typing import cast
 
@@ -160,3 +161,25 @@
         assert data.startswith(b"HTTP/1.1 503 ")
         assert b"Retry-After: 0" in data
         assert requests.began == 0
+
+
+# Turns of the event loop from the arrival of a connection in the kernel until
+# its request is read, and some more.
+@pytest.mark.parametrize("turns", range(10))
+async def test_connection_that_comes_as_the_drain_ends_is_served(turns):
+    # Guards against review/7: a connection that was accepted, but not handed to
+    # the server yet, was served after the drain had ended, and cut by the exit.
+    requests = _SlowRequestServer(reply_after_s=0.05)
+    async with caller_server.RunningServer(requests) as server:
+        server.server.drain(_in(2))
+        with socket.create_connection(("127.0.0.1", server.port)) as client:
+            client.sendall(_REQUEST)
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            await server.server.stop_accepting()
+            await server.server.close()
+            began = requests.began
+            client.settimeout(0)
+            assert client.recv(1000).startswith(b"HTTP/1.1 200 ")
+            await asyncio.sleep(0.1)
+            assert requests.began == began == 1
