Apply the limit on connections where they are accepted

What was seen: a process held more sockets than its limits allow (511 of 300) after a pause in which many clients connected, and once beside load in test_process_bounds_what_clients_send[connections that send nothing, clients]. Out of descriptors, it can call no leaf.

Change: the limit is applied when a connection is counted, and 32 are accepted in a turn. When a port is closed, its queue is taken in such steps.

--- a/src/sassafrashold/front/_connection_server.py
+++ b/src/sassafrashold/front/_connection_server.py
@@ -73,11 +73,16 @@
         """Number of open connections, with those that are being set up."""
         return len(self._open)
 
-    def admit(self) -> _client_connection.ClientConnection:
+    def admit(self) -> _client_connection.ClientConnection | None:
         """Returns a new connection, which counts as open from now on.
 
-        The caller sets it up, or else passes it to `forget`.
+        None if there is no room for it. Otherwise the caller sets it up, or
+        else passes it to `forget`.
         """
+        is_full = len(self._open) >= self._limits.max_connections
+        if is_full and not self._close_spared():
+            self._limits.on_refusal(_connection_limits.Refusal.CONNECTIONS)
+            return None
         connection = self()
         self._open[connection] = None
         self._all_closed.clear()
@@ -99,15 +104,6 @@
             **self._connection_arguments,
         )
 
-    def connection_made(
-        self, handler: web.RequestHandler, transport: asyncio.Transport
-    ) -> None:
-        """Applies the limit on connections; called by aiohttp."""
-        super().connection_made(handler, transport)
-        connection = cast(_client_connection.ClientConnection, handler)
-        if len(self._open) > self._limits.max_connections:
-            self._close_for(connection)
-
     def connection_lost(
         self, handler: web.RequestHandler, exc: BaseException | None = None
     ) -> None:
@@ -148,26 +144,26 @@
             if isinstance(connection.phase, _connection_phases.IdlePhase):
                 connection.force_close()
 
-    def _close_for(self, newest: _client_connection.ClientConnection) -> None:
-        """Closes connections that can be spared for the newest, or that one.
+    def _close_spared(self) -> bool:
+        """Closes connections to make room; returns whether there are any.
 
         A client whose connection is closed before its request was read may send
         the request again.
         """
-        candidates = [
-            connection
-            for connection in self._open
-            if connection is not newest and not connection.is_served
-        ]
         spared = heapq.nsmallest(
             max(1, int(self._limits.max_connections * _SPARED_RATIO)),
-            candidates,
+            [
+                connection
+                for connection in self._open
+                if not connection.is_served
+            ],
             key=lambda connection: connection.spare_rank,
         )
-        for connection in spared or [newest]:
+        for connection in spared:
             self._limits.on_refusal(_connection_limits.Refusal.CONNECTIONS)
             connection.abort()
             self._open.pop(connection, None)
+        return bool(spared)
 
     def close_overdue(self, limits: routing.ClientLimits) -> int:
         """Closes connections that have exceeded the limit of their phase.
--- a/src/sassafrashold/front/_listener.py
+++ b/src/sassafrashold/front/_listener.py
@@ -8,9 +8,11 @@
 from sassafrashold.front import _connection_server
 
 _LOGGER = logging.getLogger(__name__)
-# Limit on the connections accepted in one turn of the event loop, or when the
-# port is closed.
-_MAX_ACCEPTS = 1024
+# Limit on the connections accepted in one turn of the event loop. Those that
+# are closed for new ones keep their descriptors until the next turn.
+_MAX_ACCEPTS_PER_TURN = 32
+# When the port is closed, connections that wait are accepted for so many turns.
+_MAX_CLOSING_TURNS = 32
 # Pause after a connection could not be accepted, for want of descriptors.
 _RETRY_DELAY_S = 0.1
 
@@ -52,19 +54,23 @@
         over to the server, and what they had sent by then has been read.
         """
         if self._is_open:
-            self._loop.remove_reader(self._socket)
-            self._accept_waiting()
             self._is_open = False
+            self._loop.remove_reader(self._socket)
+            for _ in range(_MAX_CLOSING_TURNS):
+                if not self._accept_waiting():
+                    break
+                await asyncio.sleep(0)
             self._socket.close()
         if self._set_ups:
             await asyncio.wait(self._set_ups)
 
-    def _accept_waiting(self) -> None:
-        for _ in range(_MAX_ACCEPTS):
+    def _accept_waiting(self) -> bool:
+        """Accepts connections; returns whether more of them may wait."""
+        for _ in range(_MAX_ACCEPTS_PER_TURN):
             try:
                 sock, _ = self._socket.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+                return False
             except OSError as error:
                 _LOGGER.warning(
                     "connection not accepted", extra={"cause": repr(error)}
@@ -72,11 +78,15 @@
                 # Level-triggered polling would report the socket without pause.
                 self._loop.remove_reader(self._socket)
                 self._loop.call_later(_RETRY_DELAY_S, self.start)
-                return
+                return False
             self._hand_over(sock)
+        return True
 
     def _hand_over(self, sock: socket.socket) -> None:
         connection = self.server.admit()
+        if connection is None:
+            sock.close()
+            return
         task = self._loop.create_task(self._set_up(connection, sock))
         self._set_ups.add(task)
         task.add_done_callback(self._set_ups.discard)
--- a/src/sassafrashold/front/tests/test_listener.py
+++ b/src/sassafrashold/front/tests/test_listener.py
@@ -1,6 +1,7 @@
 """Guards against connections that are accepted and that nothing counts."""
 
 import asyncio
+import contextlib
 import errno
 import pathlib
 import socket
@@ -42,9 +43,9 @@
         self.requests += 1
         return web.Response()
 
-    def connect(self):
+    def connect(self, data=_REQUEST):
         client = socket.create_connection(self._address)
-        client.sendall(_REQUEST)
+        client.sendall(data)
         return client
 
 
@@ -92,6 +93,47 @@
         await listener.stop()
 
 
+async def test_burst_of_connections_stays_within_the_limit_in_every_turn():
+    # Guards against a process that runs out of descriptors: after a pause the
+    # whole queue of connections was accepted before any of them was counted.
+    port = _Port(max_connections=20)
+    listener = _listener.Listener(port.server, port.sock)
+    with contextlib.ExitStack() as clients:
+        for _ in range(500):
+            clients.enter_context(port.connect(b""))
+        before = _open_sockets()
+        listener.start()
+        most = 0
+        for _ in range(100):
+            most = max(most, _open_sockets() - before)
+            assert port.server.open_connections <= 20
+            await asyncio.sleep(0)
+        assert 20 <= most <= 20 + 3 * 32
+        # The newest ones are kept.
+        last = clients.enter_context(port.connect())
+        await _wait_until(lambda: port.requests == 1)
+        last.settimeout(0)
+        assert last.recv(1000).startswith(b"HTTP/1.1 200 ")
+        await listener.stop()
+
+
+async def test_connections_that_wait_when_the_port_is_closed_are_served():
+    port = _Port(max_connections=200)
+    listener = _listener.Listener(port.server, port.sock)
+    with contextlib.ExitStack() as clients:
+        for _ in range(100):
+            clients.enter_context(port.connect())
+        await listener.stop()
+        await port.server.close(asyncio.get_running_loop().time() + 1)
+        assert port.requests == 100
+
+
+def _open_sockets():
+    return sum(
+        path.is_socket() for path in pathlib.Path("/proc/self/fd").iterdir()
+    )
+
+
 @pytest.mark.parametrize(
     "own_accept_loop", ["create_server", "start_server", "TCPSite", "SockSite"]
 )
--- a/tests/platform/test_misbehaving_clients.py
+++ b/tests/platform/test_misbehaving_clients.py
@@ -17,6 +17,8 @@
 import contextlib
 import datetime
 import pathlib
+import signal
+import time
 
 import crowds
 import platform_harness
@@ -27,6 +29,8 @@
 _OPEN_REQUESTS = 1000
 _MANY_SHARDS = tuple(f"shard-{number:02}" for number in range(42))
 _ANSWER_BYTES = 4 * 2**20
+_WAITING_CONNECTIONS = 500
+_ACCEPT_TIME_S = 1.0
 _LONG_WORK = datetime.timedelta(seconds=15)
 _ORDINARY_DEADLINE_MS = 20_000
 _GATHER = b"GET /all/x HTTP/1.1\r\nHost: " + crowds.HOST + b"\r\n\r\n"
@@ -98,6 +102,25 @@
         await clients.send(crowd.blocks)
 
 
+@pytest.mark.parametrize("port", ["clients", "readiness", "metrics", "peers"])
+async def test_process_bounds_connections_that_wait_while_it_is_paused(
+    port, small_host
+):
+    """Guards against a queue that is accepted before any of it is counted."""
+    front = small_host.fronts[0]
+    watch = crowds.Watch(front, crowds.SMALL_HOST)
+    async with _clients_and_watch(small_host, port) as clients:
+        front.send_signal(signal.SIGSTOP)
+        try:
+            await clients.open(_WAITING_CONNECTIONS)
+        finally:
+            front.send_signal(signal.SIGCONT)
+        end = time.monotonic() + _ACCEPT_TIME_S
+        while time.monotonic() < end:
+            watch.sample()
+        watch.check()
+
+
 @pytest.mark.parametrize(("requests", "reads"), [(1, 0), (20, 0), (1, 20)])
 async def test_process_bounds_the_answers_that_clients_read_slowly(
     requests, reads, small_host
