--- a/src/sassafrashold/front/_daemon.py
+++ b/src/sassafrashold/front/_daemon.py
@@ -307,7 +307,11 @@
         await self._server.stop_accepting()
         await self._server.close()
         _LOGGER.info(
-            "drained", extra={"open_requests": self._server.open_requests}
+            "drained",
+            extra={
+                "open_requests": self._server.open_requests,
+                "connections": self._server.connections,
+            },
         )
 
     async def _close_internal_ports(
