--- a/src/sassafrashold/front/_listener.py
+++ b/src/sassafrashold/front/_listener.py
@@ -8,8 +8,8 @@
 from sassafrashold.front import _connection_server
 
 _LOGGER = logging.getLogger(__name__)
-# Limit on the connections accepted in one turn of the event loop. Those that
-# are closed for new ones keep their descriptors until the next turn.
+# Limit on the connections accepted in one turn of the event loop. One that is
+# closed for a new one keeps its descriptor for up to three turns.
 _MAX_ACCEPTS_PER_TURN = 32
 # When the port is closed, connections that wait are accepted for so many turns.
 _MAX_CLOSING_TURNS = 32
--- a/src/sassafrashold/front/tests/test_listener.py
+++ b/src/sassafrashold/front/tests/test_listener.py
@@ -65,7 +65,7 @@
             turns += 1
             assert turns <= 2
             await asyncio.sleep(0)
-        # Its request has not even been read.
+        # Its request has not been read yet.
         assert port.requests == 0
         await listener.stop()
         await port.server.close(asyncio.get_running_loop().time() + 1)
@@ -108,6 +108,8 @@
             most = max(most, _open_sockets() - before)
             assert port.server.open_connections <= 20
             await asyncio.sleep(0)
+        # A connection that is closed for another one ends up to three turns
+        # later, and 32 are accepted in a turn.
         assert 20 <= most <= 20 + 3 * 32
         # The newest ones are kept.
         last = clients.enter_context(port.connect())
