--- a/src/sassafrashold/front/tests/test_listener.py
+++ b/src/sassafrashold/front/tests/test_listener.py
@@ -24,9 +24,10 @@
 class _Port:
     """A port with a listener, which replies 200 to each request."""
 
-    def __init__(self, max_connections=1000):
-        self.sock = sockets.listening_socket(settings.Address("127.0.0.1", 0))
-        self._address = self.sock.getsockname()
+    def __init__(self, max_connections=1000, socket_type=socket.socket):
+        address = settings.Address("127.0.0.1", 0)
+        sock = socket_type(fileno=sockets.listening_socket(address).detach())
+        self._address = sock.getsockname()
         self.server = _connection_server.ConnectionServer(
             self._handle,
             _connection_limits.ConnectionLimits(
@@ -37,6 +38,7 @@
                 max_connections=max_connections,
             ),
         )
+        self.listener = _listener.Listener(self.server, sock)
         self.requests = 0
 
     async def _handle(self, _request):
@@ -48,6 +50,10 @@
         client.sendall(data)
         return client
 
+    async def stop(self):
+        await self.listener.stop()
+        await self.server.close(asyncio.get_running_loop().time() + 1)
+
 
 async def _wait_until(condition):
     async with asyncio.timeout(2):
@@ -57,8 +63,7 @@
 
 async def test_connection_counts_from_the_turn_in_which_it_is_accepted():
     port = _Port()
-    listener = _listener.Listener(port.server, port.sock)
-    listener.start()
+    port.listener.start()
     with port.connect():
         turns = 0
         while not port.server.open_connections:
@@ -67,8 +72,7 @@
             await asyncio.sleep(0)
         # Its request has not been read yet.
         assert port.requests == 0
-        await listener.stop()
-        await port.server.close(asyncio.get_running_loop().time() + 1)
+        await port.stop()
         assert port.requests == 1
     assert port.server.open_connections == 0
 
@@ -83,26 +87,23 @@
                 raise OSError(errno.EMFILE, "too many open files")
             return super().accept()
 
-    port = _Port()
-    sock = ExhaustedSocket(fileno=port.sock.detach())
-    listener = _listener.Listener(port.server, sock)
-    listener.start()
+    port = _Port(socket_type=ExhaustedSocket)
+    port.listener.start()
     with port.connect():
         await _wait_until(lambda: port.requests == 1)
         assert caplog.text.count("connection not accepted") == 2
-        await listener.stop()
+        await port.listener.stop()
 
 
 async def test_burst_of_connections_stays_within_the_limit_in_every_turn():
     # Guards against a process that runs out of descriptors: after a pause the
     # whole queue of connections was accepted before any of them was counted.
     port = _Port(max_connections=20)
-    listener = _listener.Listener(port.server, port.sock)
     with contextlib.ExitStack() as clients:
         for _ in range(500):
             clients.enter_context(port.connect(b""))
         before = _open_sockets()
-        listener.start()
+        port.listener.start()
         most = 0
         for _ in range(100):
             most = max(most, _open_sockets() - before)
@@ -116,17 +117,15 @@
         await _wait_until(lambda: port.requests == 1)
         last.settimeout(0)
         assert last.recv(1000).startswith(b"HTTP/1.1 200 ")
-        await listener.stop()
+        await port.listener.stop()
 
 
 async def test_connections_that_wait_when_the_port_is_closed_are_served():
     port = _Port(max_connections=200)
-    listener = _listener.Listener(port.server, port.sock)
     with contextlib.ExitStack() as clients:
         for _ in range(100):
             clients.enter_context(port.connect())
-        await listener.stop()
-        await port.server.close(asyncio.get_running_loop().time() + 1)
+        await port.stop()
         assert port.requests == 100
 
 
