--- a/src/sassafrashold/standins/objects_store.py
+++ b/src/sassafrashold/standins/objects_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import copy
 import dataclasses
 import json
 from typing import Any
@@ -11,6 +12,9 @@
 _PAGE = 50
 
 
+ERA_HEADER = "Store-Era"
+
+
 @dataclasses.dataclass(frozen=True)
 class _Change:
     revision: int
@@ -19,16 +23,38 @@
     deleted: bool
 
 
+@dataclasses.dataclass(frozen=True)
+class Copy:
+    """What the store held at one moment."""
+
+    revision: int
+    """Revision counter at that moment."""
+
+    object_by_key: dict[tuple[str, str], dict[str, Any]]
+    """The objects, by kind and name."""
+
+    changes: tuple[_Change, ...]
+    """The history up to the revision."""
+
+
 class ObjectsStore:
     """Keeps objects in memory and speaks the store's protocol.
 
     Faults are set by the owner of the stand-in: `away` answers every call
     with 503, `silent` holds calls until it is reset, `loses_calls` never
     answers the calls that arrive while it is set, `forget_history` drops old
-    changes.
+    changes, `restore` goes back to an older copy.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, sends_era: bool = True) -> None:
+        """Initializes an empty store.
+
+        Args:
+            sends_era: Whether answers carry the number of the store's history,
+                which rises with each return from a copy.
+        """
+        self.era = 1
+        self._sends_era = sends_era
         self.away = False
         self.silent = False
         self.loses_calls = False
@@ -51,7 +77,7 @@
                 web.delete("/objects/{kind}/{name}", self._delete),
             ]
         )
-        application.middlewares.append(self._inject_faults)
+        application.middlewares.extend((self._add_era, self._inject_faults))
         return application
 
     async def put(self, kind: str, name: str, spec: Any) -> int:
@@ -94,6 +120,27 @@
         async with self._changed:
             self._changed.notify_all()
 
+    def take_copy(self) -> Copy:
+        """Returns a copy of the objects and their history."""
+        return Copy(
+            self._revision,
+            copy.deepcopy(self._object_by_key),
+            tuple(self._changes),
+        )
+
+    async def restore(self, older: Copy) -> None:
+        """Returns from an older copy, which begins a new era.
+
+        Everything written since the copy is lost, its revisions are given out
+        again, and the watches that wait are cut off.
+        """
+        self.era += 1
+        self._revision = older.revision
+        self._object_by_key = copy.deepcopy(older.object_by_key)
+        self._changes = list(older.changes)
+        async with self._changed:
+            self._changed.notify_all()
+
     async def _note(
         self, kind: str, document: dict[str, Any], deleted: bool
     ) -> None:
@@ -117,6 +164,15 @@
         response: web.StreamResponse = await handler(request)
         return response
 
+    @web.middleware
+    async def _add_era(
+        self, request: web.Request, handler: Any
+    ) -> web.StreamResponse:
+        response: web.StreamResponse = await handler(request)
+        if self._sends_era:
+            response.headers[ERA_HEADER] = str(self.era)
+        return response
+
     async def _list(self, request: web.Request) -> web.Response:
         kind = request.match_info["kind"]
         if "watch" in request.query:
@@ -139,13 +195,22 @@
     async def _watch(self, request: web.Request, kind: str) -> web.Response:
         since = int(request.query["watch"])
         wait_s = int(request.query.get("wait_ms", 0)) / 1000
+        era = self.era
         try:
             async with asyncio.timeout(wait_s), self._changed:
-                while since >= self._oldest and not self._since(kind, since):
+                while (
+                    era == self.era
+                    and self._has_history(since)
+                    and not self._since(kind, since)
+                ):
                     await self._changed.wait()
         except TimeoutError:
             return web.json_response({"events": [], "as_of": self._revision})
-        if since < self._oldest:
+        if era != self.era:
+            if request.transport is not None:
+                request.transport.abort()
+            return web.Response(status=503)
+        if not self._has_history(since):
             return web.json_response({"error": "gone"}, status=410)
         return web.json_response(
             {
@@ -157,6 +222,9 @@
             }
         )
 
+    def _has_history(self, revision: int) -> bool:
+        return self._oldest <= revision <= self._revision
+
     def _since(self, kind: str, revision: int) -> list[_Change]:
         return [
             change
