Log and count what a host's copies of the store are built from

Now each change of a copy is one line with topic, revision, the revision before and the source; answers left out and first failures are lines too, all within a budget. Gauges for each topic: revision reached, time since a source last answered, answers left out.

--- a/src/sassafrashold/front/_daemon.py
+++ b/src/sassafrashold/front/_daemon.py
@@ -476,6 +476,8 @@
         self._internal_listeners.append(listener)
 
     def _set_gauges(self) -> None:
+        for status in self._view.statuses():
+            self._metrics.set_topic(status)
         current = self._table.current
         for name, value in (
             ("sassafras_configuration_version", current and current.version),
--- a/src/sassafrashold/front/_follower.py
+++ b/src/sassafrashold/front/_follower.py
@@ -197,6 +197,15 @@
                 self._on_history_gone()
             except errors.StoreError as error:
                 failures += 1
+                if failures == 1:
+                    _LOGGER.info(
+                        "call to the store failed",
+                        extra={
+                            "topic": self._topic.name,
+                            "revision": self._mirror.revision,
+                            "cause": error.message,
+                        },
+                    )
                 await asyncio.sleep(_BACKOFF.delay(failures).total_seconds())
                 # A single failure may be a long poll that was cut off while the
                 # store is available.
--- a/src/sassafrashold/front/_metrics.py
+++ b/src/sassafrashold/front/_metrics.py
@@ -5,6 +5,8 @@
 import prometheus_client
 from prometheus_client import exposition
 
+from sassafrashold.front import _view
+
 CONTENT_TYPE = exposition.CONTENT_TYPE_PLAIN_0_0_4
 _LATENCY_BUCKETS_S = (
     0.005,
@@ -56,6 +58,24 @@
             ("cause",),
             registry=self._registry,
         )
+        self._topic_revision = prometheus_client.Gauge(
+            "sassafras_topic_revision",
+            "Store revision that the copy of a topic has reached.",
+            ("topic",),
+            registry=self._registry,
+        )
+        self._topic_age = prometheus_client.Gauge(
+            "sassafras_topic_age_seconds",
+            "Time since the store or another host last answered for a topic.",
+            ("topic",),
+            registry=self._registry,
+        )
+        self._ignored_batches = prometheus_client.Gauge(
+            "sassafras_topic_answers_ignored",
+            "Answers that were older than the copy of a topic, so far.",
+            ("topic",),
+            registry=self._registry,
+        )
         self._gauges = {
             name: prometheus_client.Gauge(
                 name, description, registry=self._registry
@@ -108,6 +128,12 @@
         """Counts a client that was refused for what it sent or held."""
         self._refusals.labels(cause).inc()
 
+    def set_topic(self, status: _view.TopicStatus) -> None:
+        """Sets the gauges of a topic."""
+        self._topic_revision.labels(status.topic).set(status.revision or 0)
+        self._topic_age.labels(status.topic).set(status.age.total_seconds())
+        self._ignored_batches.labels(status.topic).set(status.ignored_batches)
+
     def set_gauge(self, name: str, value: float) -> None:
         """Sets a gauge.
 
--- a/src/sassafrashold/front/_peers.py
+++ b/src/sassafrashold/front/_peers.py
@@ -191,9 +191,10 @@
             raise _peer_http.unavailable_error(
                 address, f"unreadable: {error!r}"
             ) from error
+        self._view.confirm_all()
         for name, batch in batch_by_topic.items():
             if name in self._view.mirror_by_topic:
-                self._view.apply_batch(name, batch)
+                self._view.apply_batch(name, batch, str(address))
 
 
 def _encode(batch: relay.Batch) -> dict[str, Any]:
--- a/src/sassafrashold/front/_sourcing.py
+++ b/src/sassafrashold/front/_sourcing.py
@@ -416,7 +416,7 @@
                 self._restart_from_snapshots()
             return True
         if batch.documents:
-            self._view.apply_batch(name, batch)
+            self._view.apply_batch(name, batch, _view.PROBE)
         return True
 
     def _on_store_health_change(self, unavailable: bool) -> None:
--- a/src/sassafrashold/front/_view.py
+++ b/src/sassafrashold/front/_view.py
@@ -1,6 +1,7 @@
 """Copies of the topics of the store, and the state derived from them."""
 
 from collections.abc import Callable
+import dataclasses
 import datetime
 import logging
 
@@ -9,6 +10,7 @@
 from sassafrashold import directory as directory_lib
 from sassafrashold import relay
 from sassafrashold import routing
+from sassafrashold import telemetry
 from sassafrashold.front import _interfaces
 from sassafrashold.front import _leaf_pool
 
@@ -17,6 +19,12 @@
 # entries, which are read at the same time. Operators expect a configuration to
 # be in force within 3 s.
 _MAX_CONFIGURATION_DELAY = datetime.timedelta(milliseconds=500)
+# For each topic and kind of line; a source that is asked in a loop must not
+# fill the log.
+_MAX_BATCH_LINES_PER_SECOND = 5
+# Sources of batches other than hosts.
+STORE = "store"
+PROBE = "probe"
 
 
 class Topics:
@@ -40,6 +48,23 @@
         self.zones_out = zones_out
 
 
+@dataclasses.dataclass(frozen=True)
+class TopicStatus:
+    """How current the copy of a topic is, for metrics."""
+
+    topic: str
+    """Name of the topic."""
+
+    revision: int | None
+    """Store revision that the copy has reached; None before a snapshot."""
+
+    age: datetime.timedelta
+    """Time since the store or another host last answered for the topic."""
+
+    ignored_batches: int
+    """Number of batches that were older than the copy."""
+
+
 class View:
     """Applies batches of documents to the routes and the leaf directory."""
 
@@ -73,6 +98,12 @@
             for topic in (topics.configuration, topics.leafs, topics.zones_out)
         }
         self.on_change: Callable[[], None] | None = None
+        now = clock.monotonic()
+        self._answered_at_by_topic = dict.fromkeys(self.mirror_by_topic, now)
+        self._ignored_by_topic = dict.fromkeys(self.mirror_by_topic, 0)
+        self._log_budget = telemetry.LineBudget(
+            _MAX_BATCH_LINES_PER_SECOND, clock
+        )
         self._pending: routing.Configuration | None = None
         self._pending_deadline = datetime.timedelta()
 
@@ -84,15 +115,59 @@
             for mirror in self.mirror_by_topic.values()
         )
 
-    def apply_batch(self, topic: str, batch: relay.Batch) -> None:
+    def statuses(self) -> tuple[TopicStatus, ...]:
+        """Returns how current the copy of each topic is."""
+        now = self._clock.monotonic()
+        return tuple(
+            TopicStatus(
+                topic,
+                mirror.revision,
+                now - self._answered_at_by_topic[topic],
+                self._ignored_by_topic[topic],
+            )
+            for topic, mirror in self.mirror_by_topic.items()
+        )
+
+    def confirm_all(self) -> None:
+        """Records that a source has answered for all topics."""
+        now = self._clock.monotonic()
+        for topic in self._answered_at_by_topic:
+            self._answered_at_by_topic[topic] = now
+
+    def apply_batch(
+        self, topic: str, batch: relay.Batch, source: str = STORE
+    ) -> None:
         """Applies a batch, unless a newer one has been applied.
 
         Args:
             topic: Name of the topic.
             batch: Documents of the topic.
+            source: Where it was read, for the log: `STORE`, `PROBE` or the
+                address of a host.
         """
-        if not self.mirror_by_topic[topic].apply(batch):
+        mirror = self.mirror_by_topic[topic]
+        reached = mirror.revision
+        if source != PROBE:
+            self._answered_at_by_topic[topic] = self._clock.monotonic()
+        changed = mirror.apply(batch)
+        if reached is not None and batch.revision < reached:
+            self._note_ignored(topic, batch, reached, source)
+        if not changed:
             return
+        if batch.documents:
+            self._log_budget.info(
+                _LOGGER,
+                f"{topic} changed",
+                "copy changed",
+                {
+                    "topic": topic,
+                    "revision": batch.revision,
+                    "before": reached,
+                    "source": source,
+                    "documents": len(batch.documents),
+                    "snapshot": batch.is_snapshot,
+                },
+            )
         if topic == self._topics.configuration.name:
             self._apply_configurations(
                 self._topics.configuration.decode(batch.documents)
@@ -110,6 +185,23 @@
         if self.on_change is not None:
             self.on_change()
 
+    def _note_ignored(
+        self, topic: str, batch: relay.Batch, reached: int, source: str
+    ) -> None:
+        self._ignored_by_topic[topic] += 1
+        if batch.documents or batch.is_snapshot:
+            self._log_budget.info(
+                _LOGGER,
+                f"{topic} ignored",
+                "older answer ignored",
+                {
+                    "topic": topic,
+                    "revision": batch.revision,
+                    "reached": reached,
+                    "source": source,
+                },
+            )
+
     def set_store_unavailable(self, unavailable: bool) -> None:
         """Records whether the store is unavailable.
 
--- a/src/sassafrashold/platform/tests/test_malformed_input.py
+++ b/src/sassafrashold/platform/tests/test_malformed_input.py
@@ -205,7 +205,10 @@
         self.mirror_by_topic = {"leafs": relay.Mirror()}
         self._topic = topics.LeafTopic(cast(Any, None))
 
-    def apply_batch(self, _name, batch):
+    def confirm_all(self):
+        pass
+
+    def apply_batch(self, _name, batch, _source):
         self._topic.decode(batch.documents)
 
 
