Keep places in the store's changes by era and revision

Seen: after the store had come back from an older copy, versions and leavings that it acknowledged were not followed by some or all hosts (CONFIG, DRAIN), most of them without a line in the log.

Cause: a host kept its place in the store's changes as a revision. After the return revisions are given out again, so that the number names another place. Hosts that follow hosts compared the same numbers. Class: a position without the history that it belongs to, compared and resumed in another one.

The log line 'copy changed' shows that nothing was read after the return.

Only platform/store_client.py reads Store-Era. A list whose pages belong to two eras is read again. The probe no longer applies what a stale read shows, which may be from before the return: it makes the waiting calls again. A second 410 in a row is retried with a backoff.

Without the header positions have era 0 throughout.

--- a/src/sassafrashold/front/_daemon.py
+++ b/src/sassafrashold/front/_daemon.py
@@ -107,6 +107,7 @@
         self._values = values
         self._listeners = listeners
         self._clock = clock
+        self._eras = topics.eras
         self._directory = directory_lib.LeafDirectory(
             directory_lib.GracePeriods(
                 draining=values.leaf_drain_time * _LEAF_DRAIN_RATIO,
@@ -485,6 +486,7 @@
             ("sassafras_hosts", len(self._state.share.hosts)),
             ("sassafras_ready", self.is_ready),
             ("sassafras_store_away", self._sourcing.health.is_unavailable),
+            ("sassafras_store_era", self._eras.value),
             (
                 "sassafras_zones_out_of_reach",
                 len(self._state.reach.unreachable_zones),
--- a/src/sassafrashold/front/_follower.py
+++ b/src/sassafrashold/front/_follower.py
@@ -137,12 +137,13 @@
         on_batch: Callable[[str, relay.Batch], None],
         on_history_gone: Callable[[], None],
         batching_delay: datetime.timedelta,
+        eras: relay.LatestEra,
     ) -> None:
         """Initializes the task.
 
         Args:
             topic: Topic to follow.
-            mirror: Local copy of the topic; its revision is where to continue.
+            mirror: Local copy of the topic; its position is where to continue.
             health: Tracks whether the store is available.
             on_batch: Called with the name of the topic and each batch read.
             on_history_gone: Called when the store has dropped changes that
@@ -150,6 +151,7 @@
                 changes too.
             batching_delay: Time between two calls, so that one call returns
                 several changes that are written in a burst.
+            eras: Tells when the copy is of an earlier era of the store.
         """
         self._topic = topic
         self._mirror = mirror
@@ -157,7 +159,8 @@
         self._on_batch = on_batch
         self._on_history_gone = on_history_gone
         self._batching_delay = batching_delay
-        self._read_task: asyncio.Task[None] | None = None
+        self._eras = eras
+        self._read_task: asyncio.Task[bool] | None = None
         self._needs_snapshot = False
 
     def restart(self, *, from_snapshot: bool) -> None:
@@ -176,10 +179,12 @@
     async def run(self) -> None:
         """Follows the topic until cancelled."""
         failures = 0
+        # Without a successful long poll in between.
+        histories_gone = 0
         while True:
             self._read_task = asyncio.create_task(self._read_once())
             try:
-                await self._read_task
+                polled_changes = await self._read_task
             except asyncio.CancelledError:
                 current = asyncio.current_task()
                 if current is not None and current.cancelling():
@@ -190,10 +195,16 @@
                     "store has dropped its history; reading all",
                     extra={
                         "topic": self._topic.name,
-                        "revision": self._mirror.revision,
+                        "position": str(self._mirror.position),
                     },
                 )
                 self._read_task = None
+                histories_gone += 1
+                if histories_gone > 1:
+                    # A snapshot has not helped.
+                    await asyncio.sleep(
+                        _BACKOFF.delay(histories_gone).total_seconds()
+                    )
                 self._on_history_gone()
             except errors.StoreError as error:
                 failures += 1
@@ -202,7 +213,7 @@
                         "call to the store failed",
                         extra={
                             "topic": self._topic.name,
-                            "revision": self._mirror.revision,
+                            "position": str(self._mirror.position),
                             "cause": error.message,
                         },
                     )
@@ -215,14 +226,30 @@
             else:
                 failures = 0
                 self._health.record_answer()
-
-    async def _read_once(self) -> None:
-        revision = self._mirror.revision
-        if revision is None or self._needs_snapshot:
+                if polled_changes:
+                    histories_gone = 0
+
+    def _snapshot_is_due(self) -> bool:
+        position = self._mirror.position
+        return (
+            position is None
+            or self._needs_snapshot
+            or position.era < self._eras.value
+        )
+
+    async def _read_once(self) -> bool:
+        """Reads a snapshot if one is due, or else polls for changes.
+
+        Returns:
+            Whether it polled for changes.
+        """
+        position = self._mirror.position
+        if position is None or self._snapshot_is_due():
             batch = await self._topic.snapshot()
             self._needs_snapshot = False
             self._on_batch(self._topic.name, batch)
-            return
-        batch = await self._topic.changes(revision, _LONG_POLL_TIMEOUT)
+            return False
+        batch = await self._topic.changes(position, _LONG_POLL_TIMEOUT)
         self._on_batch(self._topic.name, batch)
         await asyncio.sleep(self._batching_delay.total_seconds())
+        return True
--- a/src/sassafrashold/front/_interfaces.py
+++ b/src/sassafrashold/front/_interfaces.py
@@ -40,29 +40,29 @@
         ...
 
     async def changes(
-        self, revision: int, wait: datetime.timedelta
+        self, position: relay.Position, wait: datetime.timedelta
     ) -> relay.Batch:
-        """Waits until documents change after a revision.
+        """Waits until documents change after a position.
 
         Args:
-            revision: Revision up to which the documents are known.
+            position: Place up to which the documents are known.
             wait: How long to wait; the batch is empty if nothing changed.
 
         Raises:
-            HistoryGoneError: The store has dropped the changes since the
-                revision.
+            HistoryGoneError: The store does not have the changes since the
+                position.
             StoreError: The store refused or did not answer.
         """
         ...
 
-    async def stale_changes(self, revision: int) -> relay.Batch:
-        """Returns the changes since a revision without waiting.
+    async def stale_changes(self, position: relay.Position) -> relay.Batch:
+        """Returns the changes since a position without waiting.
 
         Uses a cheap stale read: the result may lag by seconds.
 
         Raises:
-            HistoryGoneError: The store has dropped the changes since the
-                revision.
+            HistoryGoneError: The store does not have the changes since the
+                position.
             StoreError: The store refused or did not answer.
         """
         ...
--- a/src/sassafrashold/front/_metrics.py
+++ b/src/sassafrashold/front/_metrics.py
@@ -64,6 +64,12 @@
             ("topic",),
             registry=self._registry,
         )
+        self._topic_era = prometheus_client.Gauge(
+            "sassafras_topic_era",
+            "Era of the store that the copy of a topic has reached.",
+            ("topic",),
+            registry=self._registry,
+        )
         self._topic_age = prometheus_client.Gauge(
             "sassafras_topic_age_seconds",
             "Time since the store or another host last answered for a topic.",
@@ -86,6 +92,7 @@
                 ("sassafras_hosts", "Live hosts of the system."),
                 ("sassafras_ready", "1 if callers may be sent here."),
                 ("sassafras_store_away", "1 if the store does not answer."),
+                ("sassafras_store_era", "Latest era that the store has shown."),
                 ("sassafras_zones_out_of_reach", "Zones out of reach."),
                 (
                     "sassafras_callers_elsewhere",
@@ -130,7 +137,10 @@
 
     def set_topic(self, status: _view.TopicStatus) -> None:
         """Sets the gauges of a topic."""
-        self._topic_revision.labels(status.topic).set(status.revision or 0)
+        if status.position is not None:
+            position = status.position
+            self._topic_era.labels(status.topic).set(position.era)
+            self._topic_revision.labels(status.topic).set(position.revision)
         self._topic_age.labels(status.topic).set(status.age.total_seconds())
         self._ignored_batches.labels(status.topic).set(status.ignored_batches)
 
--- a/src/sassafrashold/front/_sourcing.py
+++ b/src/sassafrashold/front/_sourcing.py
@@ -95,6 +95,7 @@
         self._other_hosts: tuple[relay.Peer, ...] = ()
         self._sources_changed = asyncio.Event()
         self._configuration = topics.configuration
+        topics.eras.on_rise = self._on_new_era
         self._reading_store = False
         self.health = _follower.StoreHealth(
             self._probe, self._on_store_health_change
@@ -107,6 +108,7 @@
                 view.apply_batch,
                 self._restart_from_snapshots,
                 batching_delay,
+                topics.eras,
             )
             for topic, batching_delay in (
                 (topics.configuration, _CONFIGURATION_BATCHING_DELAY),
@@ -399,26 +401,48 @@
     async def _probe(self) -> bool:
         """Makes a cheap call for changes of the configuration.
 
-        Applies the changes, if any, and restarts the followers if the store
-        has dropped its history.
+        Restarts the followers if there are any, or if the store has dropped its
+        history: their long polls have lost an answer, or will not get one. The
+        changes themselves are not applied, as a stale read may come from before
+        the store's present era.
 
         Returns:
-            Whether a call was made; False while no revision is known.
+            Whether a call was made; False while no position is known.
         """
-        name = self._configuration.name
-        revision = self._view.mirror_by_topic[name].revision
-        if revision is None:
+        mirror = self._view.mirror_by_topic[self._configuration.name]
+        position = mirror.position
+        if position is None:
             return False
         try:
-            batch = await self._configuration.stale_changes(revision)
+            batch = await self._configuration.stale_changes(position)
         except errors.HistoryGoneError:
-            if revision == self._view.mirror_by_topic[name].revision:
+            if position == mirror.position:
                 self._restart_from_snapshots()
             return True
-        if batch.documents:
-            self._view.apply_batch(name, batch, _view.PROBE)
+        if batch.documents and position == mirror.position:
+            _LOGGER.info(
+                "long poll has missed changes",
+                extra={"topic": self._configuration.name},
+            )
+            for follower in self._followers:
+                follower.restart(from_snapshot=False)
         return True
 
+    def _on_new_era(self, era: int) -> None:
+        """Reads all topics again after the store came back from a copy."""
+        _LOGGER.warning(
+            "store has returned from an older copy; reading all",
+            extra={
+                "era": era,
+                "positions": {
+                    name: str(mirror.position)
+                    for name, mirror in self._view.mirror_by_topic.items()
+                },
+            },
+        )
+        for follower in self._followers:
+            follower.restart(from_snapshot=False)
+
     def _on_store_health_change(self, unavailable: bool) -> None:
         self._view.set_store_unavailable(unavailable)
         if not unavailable:
--- a/src/sassafrashold/front/_view.py
+++ b/src/sassafrashold/front/_view.py
@@ -22,9 +22,8 @@
 # For each topic and kind of line; a source that is asked in a loop must not
 # fill the log.
 _MAX_BATCH_LINES_PER_SECOND = 5
-# Sources of batches other than hosts.
+# Source of batches that no other host has sent.
 STORE = "store"
-PROBE = "probe"
 
 
 class Topics:
@@ -35,6 +34,7 @@
         configuration: _interfaces.Topic[routing.Configuration],
         leafs: _interfaces.Topic[directory_lib.LeafChange],
         zones_out: _interfaces.Topic[_interfaces.ZoneChange],
+        eras: relay.LatestEra,
     ) -> None:
         """Initializes the set.
 
@@ -42,7 +42,9 @@
             configuration: Versions of the configuration.
             leafs: Entries of leafs.
             zones_out: Zones that operators have taken out of service.
+            eras: Tells when the store comes back from an older copy.
         """
+        self.eras = eras
         self.configuration = configuration
         self.leafs = leafs
         self.zones_out = zones_out
@@ -55,8 +57,8 @@
     topic: str
     """Name of the topic."""
 
-    revision: int | None
-    """Store revision that the copy has reached; None before a snapshot."""
+    position: relay.Position | None
+    """Place in the store's history; None before a snapshot."""
 
     age: datetime.timedelta
     """Time since the store or another host last answered for the topic."""
@@ -111,7 +113,7 @@
     def is_complete(self) -> bool:
         """Whether every topic has been read and a configuration is in force."""
         return self._table.current is not None and all(
-            mirror.revision is not None
+            mirror.position is not None
             for mirror in self.mirror_by_topic.values()
         )
 
@@ -121,7 +123,7 @@
         return tuple(
             TopicStatus(
                 topic,
-                mirror.revision,
+                mirror.position,
                 now - self._answered_at_by_topic[topic],
                 self._ignored_by_topic[topic],
             )
@@ -142,15 +144,14 @@
         Args:
             topic: Name of the topic.
             batch: Documents of the topic.
-            source: Where it was read, for the log: `STORE`, `PROBE` or the
-                address of a host.
+            source: Where it was read, for the log: `STORE` or the address of a
+                host.
         """
         mirror = self.mirror_by_topic[topic]
-        reached = mirror.revision
-        if source != PROBE:
-            self._answered_at_by_topic[topic] = self._clock.monotonic()
+        reached = mirror.position
+        self._answered_at_by_topic[topic] = self._clock.monotonic()
         changed = mirror.apply(batch)
-        if reached is not None and batch.revision < reached:
+        if reached is not None and batch.position < reached:
             self._note_ignored(topic, batch, reached, source)
         if not changed:
             return
@@ -161,8 +162,8 @@
                 "copy changed",
                 {
                     "topic": topic,
-                    "revision": batch.revision,
-                    "before": reached,
+                    "position": str(batch.position),
+                    "before": str(reached),
                     "source": source,
                     "documents": len(batch.documents),
                     "snapshot": batch.is_snapshot,
@@ -186,7 +187,11 @@
             self.on_change()
 
     def _note_ignored(
-        self, topic: str, batch: relay.Batch, reached: int, source: str
+        self,
+        topic: str,
+        batch: relay.Batch,
+        reached: relay.Position,
+        source: str,
     ) -> None:
         self._ignored_by_topic[topic] += 1
         if batch.documents or batch.is_snapshot:
@@ -196,8 +201,8 @@
                 "older answer ignored",
                 {
                     "topic": topic,
-                    "revision": batch.revision,
-                    "reached": reached,
+                    "position": str(batch.position),
+                    "reached": str(reached),
                     "source": source,
                 },
             )
--- a/src/sassafrashold/front/tests/test_configuration_waits_for_leafs.py
+++ b/src/sassafrashold/front/tests/test_configuration_waits_for_leafs.py
@@ -43,7 +43,8 @@
         self.clock = clock_lib.ManualClock()
         self.table = routing.RouteTable(random.Random(1))
         topics: Any = [
-            _Topic(name) for name in ("configuration", "leafs", "zones_out")
+            *(_Topic(name) for name in ("configuration", "leafs", "zones_out")),
+            relay.LatestEra(),
         ]
         pool: Any = _Pool()
         self.view = _view.View(
@@ -61,7 +62,10 @@
         self.revision += 1
         self.view.apply_batch(
             topic,
-            relay.Batch((relay.Document("x", content),), self.revision),
+            relay.Batch(
+                (relay.Document("x", content),),
+                relay.Position(1, self.revision),
+            ),
         )
 
     def configure(self, version, shards):
@@ -152,7 +156,7 @@
                         for leaf in leafs
                     ),
                 ),
-                world.revision,
+                relay.Position(1, world.revision),
             ),
         )
     (line,) = [r for r in caplog.records if r.message.startswith("leaf")]
--- a/src/sassafrashold/front/tests/test_peer_answer_size.py
+++ b/src/sassafrashold/front/tests/test_peer_answer_size.py
@@ -15,6 +15,8 @@
 from sassafrashold import relay
 from sassafrashold.front import _peers
 
+_TOPICS = ("configuration", "leafs")
+_START = relay.Position(1, 1)
 _ROUTES = 44
 _SHARDS = 54
 
@@ -25,10 +27,7 @@
     is_complete = True
 
     def __init__(self):
-        self.mirror_by_topic = {
-            "configuration": relay.Mirror(),
-            "leafs": relay.Mirror(),
-        }
+        self.mirror_by_topic = {name: relay.Mirror() for name in _TOPICS}
         self.mirror_by_topic["leafs"].apply(
             relay.Batch(
                 tuple(
@@ -47,7 +46,7 @@
                     )
                     for number in range(3 * _SHARDS)
                 ),
-                1,
+                relay.Position(1, 1),
                 is_snapshot=True,
             )
         )
@@ -72,7 +71,7 @@
                         "main", {"version": version, "routes": routes}
                     ),
                 ),
-                version,
+                relay.Position(1, version),
                 is_snapshot,
             )
         )
@@ -105,30 +104,32 @@
     for version in range(2, 14):
         view.put_version(version)
         server.notify_followers()
-    answer = server.answer({"configuration": 1, "leafs": 1})
+    answer = server.answer(dict.fromkeys(_TOPICS, _START))
     (document,) = _decoded(answer)["configuration"]["documents"]
     assert document[1]["version"] == 13
 
 
-def test_hosts_with_the_same_revisions_share_a_cached_answer(view):
+def test_hosts_with_the_same_positions_share_a_cached_answer(view):
     server = _server(view)
-    known_revisions = {"configuration": 1, "leafs": 1}
+    known_positions = dict.fromkeys(_TOPICS, _START)
     view.put_version(2)
     server.notify_followers()
-    first = server.answer(known_revisions)
-    assert server.answer(dict(known_revisions)) is first
+    first = server.answer(known_positions)
+    assert server.answer(dict(known_positions)) is first
     view.put_version(3)
     server.notify_followers()
-    assert server.answer(known_revisions) != first
+    assert server.answer(known_positions) != first
 
 
-def test_answers_to_unknown_revisions_are_not_kept_without_end(view):
-    """Any client of this port may ask with revisions of its own."""
+def test_answers_to_unknown_positions_are_not_kept_without_end(view):
+    """Any client of this port may ask with positions of its own."""
     server = _server(view)
     tracemalloc.start()
     try:
         for revision in range(500):
-            server.answer({"configuration": 10**20 + revision})
+            server.answer(
+                {"configuration": relay.Position(1, 10**20 + revision)}
+            )
         kept_bytes, _ = tracemalloc.get_traced_memory()
     finally:
         tracemalloc.stop()
--- a/src/sassafrashold/front/tests/test_store_follower.py
+++ b/src/sassafrashold/front/tests/test_store_follower.py
@@ -26,18 +26,20 @@
     async def snapshot(self):
         self.snapshots += 1
         return relay.Batch(
-            (relay.Document("x", self.value),), self.value, is_snapshot=True
+            (relay.Document("x", self.value),),
+            relay.Position(1, self.value),
+            is_snapshot=True,
         )
 
-    async def changes(self, revision, wait):
+    async def changes(self, position, wait):
         if self.never_answers:
             await asyncio.sleep(wait.total_seconds())
         await self.history_gone.wait()
         self.history_gone.clear()
         raise errors.HistoryGoneError(self.name)
 
-    async def stale_changes(self, revision):
-        return relay.Batch((), revision)
+    async def stale_changes(self, position):
+        return relay.Batch((), position)
 
     def decode(self, documents):
         return tuple(documents)
@@ -72,6 +74,7 @@
             record_batch,
             restart_all,
             datetime.timedelta(),
+            relay.LatestEra(),
         )
         for topic in topics
     )
--- a/src/sassafrashold/front/tests/test_zone_without_store.py
+++ b/src/sassafrashold/front/tests/test_zone_without_store.py
@@ -27,6 +27,7 @@
     relay.Peer(f"reader{i}", "z", settings.Address("10.0.0.1", 80 + i))
     for i in range(4)
 )
+_START = relay.Position(1, 1)
 _TOPICS = ("configuration", "leafs", "zones_out")
 
 
@@ -36,7 +37,7 @@
         self.mirror_by_topic = {name: relay.Mirror() for name in _TOPICS}
         if complete:
             for mirror in self.mirror_by_topic.values():
-                mirror.apply(relay.Batch((), 1, is_snapshot=True))
+                mirror.apply(relay.Batch((), _START, is_snapshot=True))
 
     def apply_batch(self, _name, _batch):
         self.is_complete = True
@@ -57,12 +58,13 @@
             raise errors.StoreError(errors.ErrorCode.UNAVAILABLE, "down")
 
         return SimpleNamespace(
+            eras=relay.LatestEra(),
             **{
                 name: SimpleNamespace(
                     name=name, snapshot=fail, changes=fail, stale_changes=fail
                 )
                 for name in _TOPICS
-            }
+            },
         )
 
 
@@ -71,16 +73,17 @@
 
     def topics(self):
         async def snapshot():
-            return relay.Batch((), 1, is_snapshot=True)
+            return relay.Batch((), _START, is_snapshot=True)
 
-        async def changes(revision, wait):
+        async def changes(position, wait):
             await asyncio.sleep(wait.total_seconds())
-            return relay.Batch((), revision)
+            return relay.Batch((), position)
 
-        async def stale_changes(revision):
-            return relay.Batch((), revision)
+        async def stale_changes(position):
+            return relay.Batch((), position)
 
         return SimpleNamespace(
+            eras=relay.LatestEra(),
             **{
                 name: SimpleNamespace(
                     name=name,
@@ -89,7 +92,7 @@
                     stale_changes=stale_changes,
                 )
                 for name in _TOPICS
-            }
+            },
         )
 
 
@@ -313,9 +316,13 @@
 ):
     view = _View(complete=True)
     for mirror in view.mirror_by_topic.values():
-        mirror.apply(relay.Batch((relay.Document("a", 1, False),), 2))
+        mirror.apply(
+            relay.Batch((relay.Document("a", 1, False),), relay.Position(1, 2))
+        )
     server = _peers.PeerServer(cast(Any, view), lambda: reads, lambda: relays)
-    query = dict.fromkeys(_TOPICS, "1") | ({"direct": ""} if direct else {})
+    query = dict.fromkeys(_TOPICS, str(_START)) | (
+        {"direct": ""} if direct else {}
+    )
     request = SimpleNamespace(
         path=_peers.FOLLOW_PATH, rel_url=SimpleNamespace(query=query)
     )
--- a/src/sassafrashold/platform/process.py
+++ b/src/sassafrashold/platform/process.py
@@ -11,6 +11,7 @@
 from sassafrashold import clock as clock_lib
 from sassafrashold import errors
 from sassafrashold import front
+from sassafrashold import relay
 from sassafrashold import settings
 from sassafrashold import sockets
 from sassafrashold import telemetry
@@ -119,7 +120,8 @@
     loop.add_signal_handler(
         signal.SIGHUP, _check_changed_settings, path, values
     )
-    client = store_client.StoreClient(values.store)
+    eras = relay.LatestEra()
+    client = store_client.StoreClient(values.store, eras)
     daemon = front.Daemon(
         front_settings(values, metrics_port),
         listeners,
@@ -128,6 +130,7 @@
             topics.ConfigurationTopic(client),
             topics.LeafTopic(client),
             topics.ZonesOutTopic(client),
+            eras,
         ),
         topics.HostRegistry(client),
         clock_lib.SystemClock(),
--- a/src/sassafrashold/platform/store_client.py
+++ b/src/sassafrashold/platform/store_client.py
@@ -13,6 +13,7 @@
 from sassafrashold import clock as clock_lib
 from sassafrashold import documents
 from sassafrashold import errors
+from sassafrashold import relay
 from sassafrashold import settings
 from sassafrashold import sockets
 
@@ -28,6 +29,8 @@
 _STATUS_HISTORY_GONE = 410
 _STATUS_CONFLICT = 409
 _STATUS_NOT_FOUND = 404
+_ERA_HEADER = "Store-Era"
+_MAX_ERA_DIGITS = 18
 
 
 @dataclasses.dataclass(frozen=True)
@@ -57,8 +60,19 @@
     objects: tuple[StoredObject, ...]
     """The objects; of a change, in order."""
 
-    revision: int
-    """Store revision up to which this is complete."""
+    position: relay.Position
+    """Place in the store's history up to which this is complete."""
+
+
+@dataclasses.dataclass(frozen=True)
+class _Answer:
+    """A successful answer of the store."""
+
+    era: int
+    """Number of the store's history; 0 if the store does not number them."""
+
+    body: dict[str, Any]
+    """The decoded body."""
 
 
 class _NotFoundError(errors.StoreError):
@@ -71,8 +85,16 @@
     Connections probe their peer, so that a dead connection is detected.
     """
 
-    def __init__(self, address: settings.Address) -> None:
-        """Initializes the client; it connects with the first call."""
+    def __init__(
+        self, address: settings.Address, eras: relay.LatestEra
+    ) -> None:
+        """Initializes the client; it connects with the first call.
+
+        Args:
+            address: Address of the store.
+            eras: Gets the era of each answer.
+        """
+        self._eras = eras
         self._base = f"http://{address}/objects/"
         self._session: aiohttp.ClientSession | None = None
         self.calls = 0
@@ -91,13 +113,15 @@
                 a tenth of a current one and is not limited.
 
         Raises:
+            HistoryGoneError: The store has begun a new era in between.
             StoreError: UNAVAILABLE if the store refused or did not answer.
         """
         objects: list[StoredObject] = []
-        revision: int | None = None
+        position: relay.Position | None = None
         query = {"serializable": "1"} if stale else {}
         while True:
-            body = await self._call("GET", kind, query)
+            answer = await self._call("GET", kind, query)
+            body = answer.body
             items = _require_field(body, "items", list)
             found = [
                 decoded
@@ -106,11 +130,15 @@
             ]
             objects.extend(found)
             # Later pages may be newer; changes are watched from the
-            # revision of the first page on.
-            if revision is None:
-                revision = _require_field(body, "as_of", int)
+            # position of the first page on.
+            if position is None:
+                position = relay.Position(
+                    answer.era, _require_field(body, "as_of", int)
+                )
+            if answer.era != position.era:
+                raise errors.HistoryGoneError(kind)
             if not body.get("more") or not items:
-                return ObjectList(tuple(objects), revision)
+                return ObjectList(tuple(objects), position)
             if not found:
                 raise _bad_document("no object of a page has a name")
             query = {**query, "after": found[-1].name}
@@ -133,7 +161,7 @@
                 a tenth of a current one and is not limited.
 
         Raises:
-            HistoryGoneError: The store no longer has these changes.
+            HistoryGoneError: The store does not have these changes.
             StoreError: UNAVAILABLE if the store refused or did not answer.
         """
         query = {"watch": str(revision), "wait_ms": str(clock_lib.to_ms(wait))}
@@ -144,9 +172,9 @@
             if stale
             else _WATCH_ROUND_TRIP_ALLOWANCE
         )
-        body = await self._call("GET", kind, query, wait + allowance)
+        answer = await self._call("GET", kind, query, wait + allowance)
         objects = []
-        for event in _require_field(body, "events", list):
+        for event in _require_field(answer.body, "events", list):
             if not isinstance(event, dict):
                 _LOGGER.warning("event of the store can't be read")
                 continue
@@ -156,7 +184,12 @@
             if event.get("deleted"):
                 item = dataclasses.replace(item, deleted=True)
             objects.append(item)
-        return ObjectList(tuple(objects), _require_field(body, "as_of", int))
+        return ObjectList(
+            tuple(objects),
+            relay.Position(
+                answer.era, _require_field(answer.body, "as_of", int)
+            ),
+        )
 
     async def put(
         self,
@@ -209,7 +242,7 @@
         query: Mapping[str, str],
         timeout: datetime.timedelta = _CALL_TIMEOUT,
         body: Any = None,
-    ) -> dict[str, Any]:
+    ) -> _Answer:
         if self._session is None:
             self._session = aiohttp.ClientSession(
                 connector=aiohttp.TCPConnector(
@@ -228,18 +261,20 @@
             ) as response:
                 data = await response.read()
                 status = response.status
+                header = response.headers.get(_ERA_HEADER)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise errors.StoreError(
                 errors.ErrorCode.STORE_UNAVAILABLE,
                 f"{method} {path}: {type(error).__name__}: {error}",
                 ran=errors.Ran.OUTCOME_UNKNOWN,
             ) from error
+        era = self._note_era(f"{method} {path}", header)
         if status == _STATUS_HISTORY_GONE:
             raise errors.HistoryGoneError(path)
         if status == _STATUS_CONFLICT:
             raise errors.StoreConflictError(path, 0, 0)
         if status == _STATUS_NOT_FOUND and method == "DELETE":
-            return {}
+            return _Answer(era, {})
         if status == _STATUS_NOT_FOUND:
             raise _NotFoundError(
                 errors.ErrorCode.UNAVAILABLE, f"{path} does not exist"
@@ -250,14 +285,40 @@
                 f"{method} {path}: status {status}",
             )
         if not data:
-            return {}
+            return _Answer(era, {})
         try:
             decoded = documents.parse_list(data)
         except ValueError as error:
             raise _bad_document(str(error)) from error
         if not isinstance(decoded, dict):
             raise _bad_document("expected a JSON object")
-        return decoded
+        return _Answer(era, decoded)
+
+    def _note_era(self, call: str, header: str | None) -> int:
+        """Records the era that an answer belongs to.
+
+        Returns:
+            The era; the latest one if the answer does not say.
+
+        Raises:
+            StoreError: The answer belongs to an earlier era.
+        """
+        if header is None:
+            return self._eras.value
+        if not (header.isascii() and header.isdecimal()) or (
+            len(header) > _MAX_ERA_DIGITS
+        ):
+            raise _bad_document(f"{call}: {_ERA_HEADER}: expected a number")
+        era = int(header)
+        if era < self._eras.value:
+            raise errors.StoreError(
+                errors.ErrorCode.STORE_UNAVAILABLE,
+                f"{call}: answer of era {era}, but era {self._eras.value} "
+                "has begun",
+                ran=errors.Ran.OUTCOME_UNKNOWN,
+            )
+        self._eras.note(era)
+        return era
 
 
 def _socket_factory(_address: Any) -> socket.socket:
--- a/src/sassafrashold/platform/tests/test_lost_long_polls.py
+++ b/src/sassafrashold/platform/tests/test_lost_long_polls.py
@@ -66,13 +66,15 @@
     )
     await runner.setup()
     await web.TCPSite(runner, "127.0.0.1", 0).start()
+    eras = relay.LatestEra()
     client = store_client.StoreClient(
-        settings.Address("127.0.0.1", runner.addresses[0][1])
+        settings.Address("127.0.0.1", runner.addresses[0][1]), eras
     )
     followed = _view.Topics(
         topics.ConfigurationTopic(client),
         topics.LeafTopic(client),
         topics.ZonesOutTopic(client),
+        eras,
     )
     names = (
         followed.configuration.name,
--- a/src/sassafrashold/platform/tests/test_malformed_input.py
+++ b/src/sassafrashold/platform/tests/test_malformed_input.py
@@ -193,6 +193,7 @@
 
 _BATCHES = {
     "leafs": {
+        "era": 1,
         "revision": 8,
         "whole": False,
         "documents": [["i", {"spec": test_decoding._LEAF, "born": 1}, False]],
@@ -253,7 +254,7 @@
     await runner.setup()
     await web.TCPSite(runner, "127.0.0.1", unused_tcp_port).start()
     client = store_client.StoreClient(
-        settings.Address("127.0.0.1", unused_tcp_port)
+        settings.Address("127.0.0.1", unused_tcp_port), relay.LatestEra()
     )
     for call in (
         client.list("k"),
--- a/src/sassafrashold/platform/tests/test_store_lists.py
+++ b/src/sassafrashold/platform/tests/test_store_lists.py
@@ -6,6 +6,7 @@
 import pytest
 
 from sassafrashold import errors
+from sassafrashold import relay
 from sassafrashold import settings
 from sassafrashold.platform import store_client
 
@@ -26,7 +27,8 @@
     await runner.setup()
     await web.TCPSite(runner, "127.0.0.1", 0).start()
     client = store_client.StoreClient(
-        settings.Address("127.0.0.1", runner.addresses[0][1])
+        settings.Address("127.0.0.1", runner.addresses[0][1]),
+        relay.LatestEra(),
     )
     with pytest.raises(errors.StoreError, match="name"):
         async with asyncio.timeout(3):
--- a/src/sassafrashold/platform/tests/test_store_writes.py
+++ b/src/sassafrashold/platform/tests/test_store_writes.py
@@ -3,6 +3,7 @@
 from aiohttp import test_utils
 import pytest
 
+from sassafrashold import relay
 from sassafrashold import settings
 from sassafrashold.platform import store_client
 from sassafrashold.standins import objects_store
@@ -24,7 +25,7 @@
     async with test_utils.TestServer(store.application()) as server:
         assert server.port is not None
         client = store_client.StoreClient(
-            settings.Address("127.0.0.1", server.port)
+            settings.Address("127.0.0.1", server.port), relay.LatestEra()
         )
         await client.put("k", "n", {"value": 2}, exists=guess)
         assert client.calls == calls
--- a/src/sassafrashold/platform/tests/test_unreadable_entries.py
+++ b/src/sassafrashold/platform/tests/test_unreadable_entries.py
@@ -71,13 +71,16 @@
     await runner.setup()
     await web.TCPSite(runner, "127.0.0.1", 0).start()
     client = store_client.StoreClient(
-        settings.Address("127.0.0.1", runner.addresses[0][1])
+        settings.Address("127.0.0.1", runner.addresses[0][1]),
+        relay.LatestEra(),
     )
     try:
         topic = topics.LeafTopic(client)
         batch = await call(topic)
         # Other hosts get the batch as JSON.
-        relayed = _peers._decode(json.loads(json.dumps(_peers._encode(batch))))
+        relayed = _peers._decode(
+            json.loads(json.dumps(_peers._encode(batch))), batch.since
+        )
         assert isinstance(relayed, relay.Batch)
         return topic.decode(relayed.documents)
     finally:
@@ -100,7 +103,8 @@
         )
         data = b'{"events": [%s], "as_of": 9}' % events
         changes = await _changes_of(
-            data, lambda topic: topic.changes(1, topics._NO_WAIT)
+            data,
+            lambda topic: topic.changes(relay.Position(0, 1), topics._NO_WAIT),
         )
     else:
         data = b'{"items": [%s], "as_of": 9}' % b", ".join(items)
--- a/src/sassafrashold/platform/topics.py
+++ b/src/sassafrashold/platform/topics.py
@@ -27,20 +27,21 @@
 
     async def snapshot(self) -> relay.Batch:
         """Returns all documents."""
-        found = await self._client.list(self._kind)
-        return _batch(found, is_snapshot=True)
+        return _snapshot(await self._client.list(self._kind))
 
     async def changes(
-        self, revision: int, wait: datetime.timedelta
+        self, position: relay.Position, wait: datetime.timedelta
     ) -> relay.Batch:
-        """Returns changes since a revision."""
-        return _batch(await self._client.watch(self._kind, revision, wait))
-
-    async def stale_changes(self, revision: int) -> relay.Batch:
-        """Returns changes since a revision; may be seconds old."""
-        return _batch(
-            await self._client.watch(self._kind, revision, _NO_WAIT, stale=True)
+        """Returns changes since a position."""
+        found = await self._client.watch(self._kind, position.revision, wait)
+        return _changes(found, position.revision)
+
+    async def stale_changes(self, position: relay.Position) -> relay.Batch:
+        """Returns changes since a position; may be seconds old."""
+        found = await self._client.watch(
+            self._kind, position.revision, _NO_WAIT, stale=True
         )
+        return _changes(found, position.revision)
 
 
 class ConfigurationTopic(_StoreTopic):
@@ -169,19 +170,30 @@
         return tuple(hosts)
 
 
-def _batch(
-    found: store_client.ObjectList, *, is_snapshot: bool = False
-) -> relay.Batch:
+def _snapshot(found: store_client.ObjectList) -> relay.Batch:
     return relay.Batch(
-        tuple(
-            relay.Document(
-                item.name,
-                {"spec": item.spec, "born": item.born_unix_ms},
-                item.deleted,
-            )
-            for item in found.objects
-            if not (is_snapshot and item.deleted)
-        ),
-        found.revision,
-        is_snapshot,
+        tuple(_document(item) for item in found.objects if not item.deleted),
+        found.position,
+        is_snapshot=True,
+    )
+
+
+def _changes(found: store_client.ObjectList, revision: int) -> relay.Batch:
+    """Returns changes after a revision.
+
+    The store knows only the revision: it counts from there in its present era,
+    whatever the era in which the copy has reached it.
+    """
+    return relay.Batch(
+        tuple(_document(item) for item in found.objects),
+        found.position,
+        since=relay.Position(found.position.era, revision),
+    )
+
+
+def _document(item: store_client.StoredObject) -> relay.Document:
+    return relay.Document(
+        item.name,
+        {"spec": item.spec, "born": item.born_unix_ms},
+        item.deleted,
     )
--- a/src/sassafrashold/relay/__init__.py
+++ b/src/sassafrashold/relay/__init__.py
@@ -7,6 +7,8 @@
 from sassafrashold.relay._documents import Batch
 from sassafrashold.relay._documents import Document
 from sassafrashold.relay._mirror import Mirror
+from sassafrashold.relay._position import LatestEra
+from sassafrashold.relay._position import Position
 from sassafrashold.relay._sources import MIN_HOSTS_TO_RELAY
 from sassafrashold.relay._sources import READER_COUNT
 from sassafrashold.relay._sources import Peer
@@ -19,8 +21,10 @@
     "READER_COUNT",
     "Batch",
     "Document",
+    "LatestEra",
     "Mirror",
     "Peer",
+    "Position",
     "likely_readers_first",
     "sources_for",
     "store_readers",
--- a/src/sassafrashold/relay/_documents.py
+++ b/src/sassafrashold/relay/_documents.py
@@ -3,6 +3,8 @@
 import dataclasses
 from typing import Any
 
+from sassafrashold.relay import _position
+
 
 @dataclasses.dataclass(frozen=True)
 class Document:
@@ -25,8 +27,11 @@
     documents: tuple[Document, ...]
     """All documents of the topic, or the changed ones."""
 
-    revision: int
-    """Store revision up to which the batch is complete."""
+    position: _position.Position
+    """Place in the store's history up to which the batch is complete."""
 
     is_snapshot: bool = False
     """Whether it is a snapshot: documents that are not in it do not exist."""
+
+    since: _position.Position | None = None
+    """Place after which the changes are complete; None if it is not limited."""
--- a/src/sassafrashold/relay/tests/test_copies_and_sources.py
+++ b/src/sassafrashold/relay/tests/test_copies_and_sources.py
@@ -15,6 +15,10 @@
     return relay.Document(name, content, deleted)
 
 
+def _at(revision):
+    return relay.Position(1, revision)
+
+
 def _all(mirror):
     batch = mirror.changes_since(None)
     assert batch is not None
@@ -24,40 +28,44 @@
 def test_follower_without_a_copy_gets_a_snapshot():
     mirror = relay.Mirror()
     assert mirror.changes_since(None) is None
-    mirror.apply(relay.Batch((_document("a"),), 5, is_snapshot=True))
+    mirror.apply(relay.Batch((_document("a"),), _at(5), is_snapshot=True))
     assert mirror.changes_since(None) == relay.Batch(
-        (_document("a"),), 5, is_snapshot=True
+        (_document("a"),), _at(5), is_snapshot=True
     )
-    assert mirror.changes_since(5) is None
+    assert mirror.changes_since(_at(5)) is None
 
 
 def test_follower_gets_only_newer_changes():
     mirror = relay.Mirror()
-    mirror.apply(relay.Batch((), 5, is_snapshot=True))
-    mirror.apply(relay.Batch((_document("a", 1),), 7))
-    mirror.apply(relay.Batch((_document("a", deleted=True),), 9))
-    assert mirror.changes_since(5) == relay.Batch(
-        (_document("a", deleted=True),), 9
+    mirror.apply(relay.Batch((), _at(5), is_snapshot=True))
+    mirror.apply(relay.Batch((_document("a", 1),), _at(7)))
+    mirror.apply(relay.Batch((_document("a", deleted=True),), _at(9)))
+    assert mirror.changes_since(_at(5)) == relay.Batch(
+        (_document("a", deleted=True),), _at(9), since=_at(5)
     )
-    assert mirror.changes_since(7) == relay.Batch(
-        (_document("a", deleted=True),), 9
+    assert mirror.changes_since(_at(7)) == relay.Batch(
+        (_document("a", deleted=True),), _at(9), since=_at(7)
     )
-    assert mirror.changes_since(9) is None
+    assert mirror.changes_since(_at(9)) is None
 
 
 def test_only_the_newest_version_of_a_document_is_sent():
     """12 versions for each of 22 followers saturated a 10 Mbit/s link."""
     mirror = relay.Mirror()
-    mirror.apply(relay.Batch((_document("main", 0),), 5, is_snapshot=True))
+    mirror.apply(relay.Batch((_document("main", 0),), _at(5), is_snapshot=True))
     for version in range(1, 13):
-        mirror.apply(relay.Batch((_document("main", version),), 5 + version))
-    assert mirror.changes_since(5) == relay.Batch((_document("main", 12),), 17)
+        mirror.apply(
+            relay.Batch((_document("main", version),), _at(5 + version))
+        )
+    assert mirror.changes_since(_at(5)) == relay.Batch(
+        (_document("main", 12),), _at(17), since=_at(5)
+    )
 
 
 def test_older_batch_is_ignored():
     mirror = relay.Mirror()
-    mirror.apply(relay.Batch((_document("a", 1),), 9, is_snapshot=True))
-    assert not mirror.apply(relay.Batch((_document("a", 0),), 7))
+    mirror.apply(relay.Batch((_document("a", 1),), _at(9), is_snapshot=True))
+    assert not mirror.apply(relay.Batch((_document("a", 0),), _at(7)))
     assert _all(mirror) == {"a": _document("a", 1)}
 
 
@@ -65,20 +73,20 @@
     """Snapshots for each of ten followers saturated a 20 Mbit/s link."""
     mirror = relay.Mirror()
     mirror.apply(
-        relay.Batch((_document("a"), _document("c")), 5, is_snapshot=True)
+        relay.Batch((_document("a"), _document("c")), _at(5), is_snapshot=True)
     )
-    mirror.apply(relay.Batch((_document("d"),), 7))
+    mirror.apply(relay.Batch((_document("d"),), _at(7)))
     mirror.apply(
-        relay.Batch((_document("b"), _document("c")), 20, is_snapshot=True)
+        relay.Batch((_document("b"), _document("c")), _at(20), is_snapshot=True)
     )
     deletions = [
         relay.Document(name, None, deleted=True) for name in ("a", "d")
     ]
-    assert mirror.changes_since(7) == relay.Batch(
-        (_document("b"), *deletions), 20
+    assert mirror.changes_since(_at(7)) == relay.Batch(
+        (_document("b"), *deletions), _at(20), since=_at(7)
     )
-    assert mirror.changes_since(5) == relay.Batch(
-        (_document("b"), *deletions), 20
+    assert mirror.changes_since(_at(5)) == relay.Batch(
+        (_document("b"), *deletions), _at(20), since=_at(5)
     )
 
 
@@ -89,31 +97,33 @@
         pass
 
     mirror = relay.Mirror()
-    mirror.apply(relay.Batch((_document("main", Content()),), 5, True))
+    mirror.apply(relay.Batch((_document("main", Content()),), _at(5), True))
     versions: list[weakref.ref[Content]] = []
     for revision in range(6, 306):
         content = Content()
         versions.append(weakref.ref(content))
-        mirror.apply(relay.Batch((_document("main", content),), revision))
+        mirror.apply(relay.Batch((_document("main", content),), _at(revision)))
     del content
     gc.collect()
     assert [v() is not None for v in versions] == [False] * 299 + [True]
     # Followers still get the change from any revision.
     newest = _document("main", versions[-1]())
     for revision in (5, 6, 304):
-        assert mirror.changes_since(revision) == relay.Batch((newest,), 305)
+        assert mirror.changes_since(_at(revision)) == relay.Batch(
+            (newest,), _at(305), since=_at(revision)
+        )
 
 
 def test_follower_behind_the_oldest_kept_change_gets_a_snapshot():
     mirror = relay.Mirror()
-    mirror.apply(relay.Batch((), 5, is_snapshot=True))
+    mirror.apply(relay.Batch((), _at(5), is_snapshot=True))
     for number in range(600):
-        mirror.apply(relay.Batch((_document(f"d{number}"),), 6 + number))
-    behind = mirror.changes_since(6)
+        mirror.apply(relay.Batch((_document(f"d{number}"),), _at(6 + number)))
+    behind = mirror.changes_since(_at(6))
     assert behind is not None
     assert behind.is_snapshot
     assert len(behind.documents) == 600
-    recent = mirror.changes_since(600)
+    recent = mirror.changes_since(_at(600))
     assert recent is not None
     assert not recent.is_snapshot
     assert [document.name for document in recent.documents] == [
@@ -123,41 +133,43 @@
 
 def test_follower_behind_the_first_snapshot_gets_a_snapshot():
     mirror = relay.Mirror()
-    mirror.apply(relay.Batch((_document("b"),), 20, is_snapshot=True))
-    assert mirror.changes_since(5) == relay.Batch(
-        (_document("b"),), 20, is_snapshot=True
+    mirror.apply(relay.Batch((_document("b"),), _at(20), is_snapshot=True))
+    assert mirror.changes_since(_at(5)) == relay.Batch(
+        (_document("b"),), _at(20), is_snapshot=True
     )
 
 
 def test_snapshot_without_a_difference_yields_no_changes():
     mirror = relay.Mirror()
-    mirror.apply(relay.Batch((_document("a"),), 5, is_snapshot=True))
-    mirror.apply(relay.Batch((_document("a"),), 9, is_snapshot=True))
-    assert mirror.changes_since(5) is None
+    mirror.apply(relay.Batch((_document("a"),), _at(5), is_snapshot=True))
+    mirror.apply(relay.Batch((_document("a"),), _at(9), is_snapshot=True))
+    assert mirror.changes_since(_at(5)) is None
 
 
 @given(strategies.lists(strategies.integers(0, 4), max_size=40))
 def test_follower_that_polls_at_intervals_converges_with_its_source(steps):
     source = relay.Mirror()
     copy = relay.Mirror()
-    source.apply(relay.Batch((), 1, is_snapshot=True))
+    source.apply(relay.Batch((), _at(1), is_snapshot=True))
     for number, step in enumerate(steps):
         name = f"d{step}"
         if step == 4:
             # The source reads a new snapshot, which lacks one document.
             remaining = list(_all(source).values())[1:]
             source.apply(
-                relay.Batch(tuple(remaining), number + 2, is_snapshot=True)
+                relay.Batch(tuple(remaining), _at(number + 2), is_snapshot=True)
             )
             continue
         source.apply(
-            relay.Batch((_document(name, number, number % 5 == 4),), number + 2)
+            relay.Batch(
+                (_document(name, number, number % 5 == 4),), _at(number + 2)
+            )
         )
         if step == 0:
-            changes = source.changes_since(copy.revision)
+            changes = source.changes_since(copy.position)
             if changes is not None:
                 copy.apply(changes)
-    changes = source.changes_since(copy.revision)
+    changes = source.changes_since(copy.position)
     if changes is not None:
         copy.apply(changes)
     assert _all(copy) == _all(source)
--- a/tests/test_unreadable_json.py
+++ b/tests/test_unreadable_json.py
@@ -111,7 +111,7 @@
     ]
 
 
-async def test_revision_of_thousands_of_digits_is_not_known():
+async def test_position_of_thousands_of_digits_is_not_known():
     server = _peers.PeerServer(
         cast(
             Any,
@@ -126,7 +126,7 @@
     )
     request = SimpleNamespace(
         path=_peers.FOLLOW_PATH,
-        rel_url=SimpleNamespace(query={"leafs": "9" * 5000}),
+        rel_url=SimpleNamespace(query={"leafs": "1." + "9" * 5000}),
     )
     response = await server.handle(cast(Any, request))
     assert response.status == 503
