Keep what hosts know of leavings and zones when the store returns

Leafs that the copy lacks and configurations older than a pending one were at risk too.

Cause: the first list of the new era was taken as newer than what the host knew, though it is older. Class: a stale copy replaces later knowledge.

Change: the first list of an era goes through LeafDirectory.restore and ZonesOut.restore. A leaf that has left stays so until it writes its entry again, or until the store still lists it when the entry of a silent leaf would have lapsed (three heartbeats and 2 s). Leafs that the copy lacks stay a last resort for 2 s, as after an outage. An older configuration no longer replaces a pending one. Leafs that left are remembered for 60 s after they were dropped. A draining leaf that a list lacks is no longer kept for good.

--- a/src/sassafrashold/calls/tests/call_world.py
+++ b/src/sassafrashold/calls/tests/call_world.py
@@ -90,7 +90,7 @@
             )
         )
         self.directory = directory.LeafDirectory(
-            directory.GracePeriods(1000 * MS, 1000 * MS)
+            directory.GracePeriods(1000 * MS, 1000 * MS, 1000 * MS)
         )
         self.directory.replace_all(
             [entry(s, z) for s in self.services for z in ZONES], 0 * MS
--- a/src/sassafrashold/calls/tests/test_removed_routes.py
+++ b/src/sassafrashold/calls/tests/test_removed_routes.py
@@ -20,7 +20,7 @@
     table = routing.RouteTable(random.Random(1))
     state = _state.CallState(
         "z1",
-        directory.LeafDirectory(directory.GracePeriods(MS, MS)),
+        directory.LeafDirectory(directory.GracePeriods(MS, MS, MS)),
         table,
         _state.LimitShare(
             hosts=("h",),
--- a/src/sassafrashold/directory/__init__.py
+++ b/src/sassafrashold/directory/__init__.py
@@ -7,6 +7,7 @@
 from sassafrashold.directory._directory import LeafUpdated
 from sassafrashold.directory._entries import LeafEntry
 from sassafrashold.directory._entries import LeafRef
+from sassafrashold.directory._zones_out import ZonesOut
 
 __all__ = [
     "GracePeriods",
@@ -16,4 +17,5 @@
     "LeafRef",
     "LeafRemoved",
     "LeafUpdated",
+    "ZonesOut",
 ]
--- a/src/sassafrashold/directory/_directory.py
+++ b/src/sassafrashold/directory/_directory.py
@@ -39,6 +39,11 @@
     store_outage: datetime.timedelta
     """From the store's recovery, for entries removed during its outage."""
 
+    older_copy: datetime.timedelta
+    """From the store's return from an older copy, for entries of leafs that
+    had left: by then the entry of a leaf that no longer writes it has lapsed.
+    """
+
 
 @dataclasses.dataclass
 class _Leaf:
@@ -49,8 +54,22 @@
     # Whether the entry was removed during an outage of the store.
     removed_in_outage: bool = False
 
+    @property
+    def has_left(self) -> bool:
+        """Whether the leaf said that it leaves, or its entry was removed."""
+        return self.usable_until is not None and not self.removed_in_outage
+
+
+@dataclasses.dataclass(frozen=True)
+class _LeftLeaf:
+    born_unix_ms: int
+    # Monotonic time at which it was forgotten.
+    at: datetime.timedelta
+
 
 _NO_END = datetime.timedelta.max
+# Longer than the age of the copies that the store may come back from.
+_LEFT_LEAF_RETENTION = datetime.timedelta(seconds=60)
 
 
 class LeafDirectory:
@@ -61,6 +80,11 @@
     leaf it is a last resort for a bounded grace period, because it still
     serves requests. Leafs whose entries were removed during an outage of the
     store remain a last resort until the store has had time to list them again.
+
+    A store that comes back from an older copy lists leafs as they were. Those
+    that have left since stay so, unless they write their entries again or the
+    store still lists them when the entry of a silent leaf would have lapsed.
+    Those that it does not list yet remain a last resort as after an outage.
     """
 
     def __init__(self, grace_periods: GracePeriods) -> None:
@@ -74,6 +98,10 @@
         self._ids_by_service: dict[str, set[str]] = {}
         self._zones_out: frozenset[str] = frozenset()
         self._store_unavailable = False
+        self._left_by_id: dict[str, _LeftLeaf] = {}
+        # Entries of an older copy that list leafs which have left.
+        self._contradicted_by_id: dict[str, _entries.LeafEntry] = {}
+        self._contradicted_until = datetime.timedelta()
 
     @property
     def zones_out(self) -> frozenset[str]:
@@ -84,6 +112,11 @@
         """Replaces the zones that are out of service."""
         self._zones_out = frozenset(zones)
 
+    @property
+    def contradicted_ids(self) -> frozenset[str]:
+        """Leafs that have left and that an older copy lists again."""
+        return frozenset(self._contradicted_by_id)
+
     def set_store_unavailable(
         self, unavailable: bool, now: datetime.timedelta
     ) -> None:
@@ -112,13 +145,44 @@
         """
         ended = []
         listed = {entry.ref.leaf_id: entry for entry in entries}
-        for leaf_id, leaf in list(self._leaf_by_id.items()):
-            if leaf_id not in listed and leaf.usable_until is None:
+        self._contradicted_by_id = {
+            leaf_id: entry
+            for leaf_id, entry in self._contradicted_by_id.items()
+            if listed.get(leaf_id) == entry
+        }
+        for leaf_id in list(self._leaf_by_id):
+            if leaf_id not in listed:
                 self._remove(leaf_id, now)
-        for entry in listed.values():
-            ended.extend(self._update(entry, now))
+        for leaf_id, entry in listed.items():
+            if leaf_id not in self._contradicted_by_id:
+                ended.extend(self._update(entry, now))
         return ended
 
+    def restore(
+        self, entries: Iterable[_entries.LeafEntry], now: datetime.timedelta
+    ) -> list[_entries.LeafRef]:
+        """Applies the complete list of a store back from an older copy.
+
+        Returns:
+            Incarnations that were replaced by a later one of the same leaf.
+        """
+        listed = {entry.ref.leaf_id: entry for entry in entries}
+        for leaf_id, leaf in self._leaf_by_id.items():
+            if leaf_id not in listed and leaf.usable_until is None:
+                leaf.removed_in_outage = True
+                leaf.usable_until = (
+                    _NO_END
+                    if self._store_unavailable
+                    else now + self._grace_periods.store_outage
+                )
+        self._contradicted_by_id = {
+            leaf_id: entry
+            for leaf_id, entry in listed.items()
+            if self._has_left(entry.ref)
+        }
+        self._contradicted_until = now + self._grace_periods.older_copy
+        return self.replace_all(listed.values(), now)
+
     def apply(
         self, change: LeafChange, now: datetime.timedelta
     ) -> list[_entries.LeafRef]:
@@ -129,13 +193,26 @@
         """
         match change:
             case LeafUpdated(entry):
+                self._contradicted_by_id.pop(entry.ref.leaf_id, None)
                 return self._update(entry, now)
             case LeafRemoved(leaf_id):
+                self._contradicted_by_id.pop(leaf_id, None)
                 self._remove(leaf_id, now)
                 return []
 
     def forget_expired(self, now: datetime.timedelta) -> list[_entries.LeafRef]:
-        """Drops removed leafs whose grace period is over and returns them."""
+        """Drops removed leafs whose grace period is over.
+
+        Also accepts what an older copy lists once it has stood for long enough.
+
+        Returns:
+            Incarnations that were dropped or replaced.
+        """
+        self._left_by_id = {
+            leaf_id: left
+            for leaf_id, left in self._left_by_id.items()
+            if now - left.at < _LEFT_LEAF_RETENTION
+        }
         expired = [
             leaf_id
             for leaf_id, leaf in self._leaf_by_id.items()
@@ -147,8 +224,15 @@
             if leaf.entry.draining:
                 continue
             ended.append(leaf.entry.ref)
+            self._left_by_id[leaf_id] = _LeftLeaf(
+                leaf.entry.ref.born_unix_ms, now
+            )
             del self._leaf_by_id[leaf_id]
             self._ids_by_service[leaf.entry.service].discard(leaf_id)
+        if now >= self._contradicted_until:
+            for entry in self._contradicted_by_id.values():
+                ended.extend(self._update(entry, now))
+            self._contradicted_by_id = {}
         return ended
 
     def usable(
@@ -190,6 +274,17 @@
         leaf = self._leaf_by_id.get(leaf_id)
         return leaf is not None and now < leaf.cold_until
 
+    def _has_left(self, ref: _entries.LeafRef) -> bool:
+        """Returns whether an incarnation, or a later one, has left."""
+        known = self._leaf_by_id.get(ref.leaf_id)
+        if known is not None:
+            return (
+                known.has_left
+                and ref.born_unix_ms <= known.entry.ref.born_unix_ms
+            )
+        left = self._left_by_id.get(ref.leaf_id)
+        return left is not None and ref.born_unix_ms <= left.born_unix_ms
+
     def _update(
         self, entry: _entries.LeafEntry, now: datetime.timedelta
     ) -> list[_entries.LeafRef]:
--- a/src/sassafrashold/directory/tests/test_leaf_eligibility.py
+++ b/src/sassafrashold/directory/tests/test_leaf_eligibility.py
@@ -8,6 +8,7 @@
 _GRACE_PERIODS = directory.GracePeriods(
     draining=datetime.timedelta(seconds=2),
     store_outage=datetime.timedelta(seconds=2),
+    older_copy=datetime.timedelta(seconds=6),
 )
 
 
--- a/src/sassafrashold/front/_daemon.py
+++ b/src/sassafrashold/front/_daemon.py
@@ -55,6 +55,8 @@
 # After the store is back, entries that lapsed during the outage are listed
 # again within this time.
 _RELISTING_TIME = datetime.timedelta(seconds=2)
+# The store removes the entry of a leaf that is silent for this many.
+_HEARTBEATS_UNTIL_LAPSE = 3
 # Before the first configuration is known.
 _UNCONFIGURED_LIMITS = routing.ClientLimits(
     max_header_bytes=2**16,
@@ -112,6 +114,8 @@
             directory_lib.GracePeriods(
                 draining=values.leaf_drain_time * _LEAF_DRAIN_RATIO,
                 store_outage=_RELISTING_TIME,
+                older_copy=_HEARTBEATS_UNTIL_LAPSE * values.leaf_heartbeat
+                + _RELISTING_TIME,
             )
         )
         self._table = routing.RouteTable(random_source)
--- a/src/sassafrashold/front/_settings.py
+++ b/src/sassafrashold/front/_settings.py
@@ -49,6 +49,9 @@
     metrics_address: settings.Address | None
     """Address on which metrics are served; None if they are not."""
 
+    leaf_heartbeat: datetime.timedelta
+    """Interval at which a leaf writes its entry."""
+
     leaf_drain_time: datetime.timedelta
     """How long a leaf may get requests after it began to drain."""
 
--- a/src/sassafrashold/front/_view.py
+++ b/src/sassafrashold/front/_view.py
@@ -100,6 +100,7 @@
             for topic in (topics.configuration, topics.leafs, topics.zones_out)
         }
         self.on_change: Callable[[], None] | None = None
+        self._zones_out = directory_lib.ZonesOut()
         now = clock.monotonic()
         self._answered_at_by_topic = dict.fromkeys(self.mirror_by_topic, now)
         self._ignored_by_topic = dict.fromkeys(self.mirror_by_topic, 0)
@@ -155,6 +156,7 @@
             self._note_ignored(topic, batch, reached, source)
         if not changed:
             return
+        is_new_era = reached is not None and batch.position.era > reached.era
         if batch.documents:
             self._log_budget.info(
                 _LOGGER,
@@ -174,15 +176,22 @@
                 self._topics.configuration.decode(batch.documents)
             )
         elif topic == self._topics.leafs.name:
-            self._apply_leaf_changes(
-                self._topics.leafs.decode(batch.documents), batch.is_snapshot
-            )
+            if is_new_era:
+                self._restore_leafs(mirror.documents)
+            else:
+                self._apply_leaf_changes(
+                    self._topics.leafs.decode(batch.documents),
+                    batch.is_snapshot,
+                )
             self._activate_pending()
         elif topic == self._topics.zones_out.name:
-            self._apply_zone_changes(
-                self._topics.zones_out.decode(batch.documents),
-                batch.is_snapshot,
-            )
+            if is_new_era:
+                self._restore_zones(mirror.documents)
+            else:
+                self._apply_zone_changes(
+                    self._topics.zones_out.decode(batch.documents),
+                    batch.is_snapshot,
+                )
         if self.on_change is not None:
             self.on_change()
 
@@ -219,11 +228,13 @@
     def forget_expired(self) -> None:
         """Drops leafs that can no longer be used.
 
-        Also activates a pending configuration whose wait has ended.
+        Also activates a pending configuration whose wait has ended, and ends
+        what was kept from before the store came back from an older copy.
         """
-        self._drop_leafs(
-            self._directory.forget_expired(self._clock.monotonic())
-        )
+        now = self._clock.monotonic()
+        self._drop_leafs(self._directory.forget_expired(now))
+        if self._zones_out.forget_expired(now):
+            self._put_zones_out()
         self._activate_pending()
 
     def _apply_configurations(
@@ -231,6 +242,10 @@
     ) -> None:
         for configuration in versions:
             current = self._table.current
+            newest = self._pending or current
+            if newest is not None and configuration.version <= newest.version:
+                # The store may come back with an older version.
+                continue
             if current is not None and self._lacks_leafs(
                 configuration, current
             ):
@@ -305,6 +320,36 @@
         for change in changes:
             self._drop_leafs(self._directory.apply(change, now))
 
+    def _restore_leafs(self, documents: tuple[relay.Document, ...]) -> None:
+        """Lists the leafs of a store that came back from an older copy."""
+        entries = [
+            change.entry
+            for change in self._topics.leafs.decode(documents)
+            if isinstance(change, directory_lib.LeafUpdated)
+        ]
+        self._drop_leafs(
+            self._directory.restore(entries, self._clock.monotonic())
+        )
+        _LOGGER.info(
+            "leafs listed from an older copy",
+            extra={
+                "leafs": len(entries),
+                "contradicted": sorted(self._directory.contradicted_ids),
+            },
+        )
+
+    def _restore_zones(self, documents: tuple[relay.Document, ...]) -> None:
+        """Lists the zones of a store that came back from an older copy."""
+        self._zones_out.restore(
+            {
+                change.zone
+                for change in self._topics.zones_out.decode(documents)
+                if change.out_of_service
+            },
+            self._clock.monotonic(),
+        )
+        self._put_zones_out()
+
     def _drop_leafs(self, dropped: list[directory_lib.LeafRef]) -> None:
         for ref in dropped:
             self._pool.close_leaf_connections(ref)
@@ -352,12 +397,17 @@
     def _apply_zone_changes(
         self, changes: tuple[_interfaces.ZoneChange, ...], is_snapshot: bool
     ) -> None:
-        zones = set() if is_snapshot else set(self._directory.zones_out)
-        for change in changes:
-            if change.out_of_service:
-                zones.add(change.zone)
-            else:
-                zones.discard(change.zone)
+        if is_snapshot:
+            self._zones_out.replace_all(
+                change.zone for change in changes if change.out_of_service
+            )
+        else:
+            for change in changes:
+                self._zones_out.update(change.zone, change.out_of_service)
+        self._put_zones_out()
+
+    def _put_zones_out(self) -> None:
+        zones = self._zones_out.zones
         if zones != self._directory.zones_out:
             _LOGGER.info(
                 "zones out of service changed", extra={"zones": sorted(zones)}
--- a/src/sassafrashold/platform/boot.py
+++ b/src/sassafrashold/platform/boot.py
@@ -10,6 +10,7 @@
 
 PATH_VARIABLE = "SASSAFRASHOLD_BOOT"
 DEFAULT_PATH = "/etc/sassafrashold/node.conf"
+_DEFAULT_HEARTBEAT_MS = "1200"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -78,6 +79,9 @@
     store: settings.Address
     """The platform's store."""
 
+    leaf_heartbeat: datetime.timedelta
+    """Interval at which a leaf writes its entry."""
+
     bounds: Bounds
     """Limits that the platform sets."""
 
@@ -181,6 +185,11 @@
         max_fds=fields.number("limits.max_fds", default="0"),
         bootstrap=value_by_name.get("bootstrap") == "true",
         store=fields.address("platform.address"),
+        leaf_heartbeat=datetime.timedelta(
+            milliseconds=fields.number(
+                "heartbeat_ms", default=_DEFAULT_HEARTBEAT_MS
+            )
+        ),
         bounds=Bounds(
             drain=fields.milliseconds("bounds.drain_ms"),
             grace=fields.seconds("bounds.grace_s"),
--- a/src/sassafrashold/platform/process.py
+++ b/src/sassafrashold/platform/process.py
@@ -68,6 +68,7 @@
         max_peer_connections=max(int(socket_fds * _PEER_FDS_RATIO), 1),
         bootstrap=values.bootstrap,
         metrics_address=metrics if metrics_port else None,
+        leaf_heartbeat=values.leaf_heartbeat,
         leaf_drain_time=values.bounds.drain,
         shutdown_grace=values.bounds.grace,
         extra_calls_ratio=values.bounds.extra_calls_ratio,
--- a/tests/platform/test_store_returns.py
+++ b/tests/platform/test_store_returns.py
@@ -126,3 +126,75 @@
         await _publish_route(harness, name)
         await _pass_old_revisions(harness)
         await _assert_in_force_in_time(harness, f"/{name}/x")
+
+
+async def _late_runs(harness, leafs, seconds):
+    """Sends requests to all hosts; returns the ids of those at the leafs."""
+    end = asyncio.get_running_loop().time() + seconds
+    count = 0
+    while asyncio.get_running_loop().time() < end:
+        count += 1
+        for front in range(_FRONT_COUNT):
+            await harness.send_request(
+                "/one/x", f"late-{front}-{count}", front=front
+            )
+        await asyncio.sleep(0.05)
+    return [
+        run.request_id
+        for leaf in leafs
+        for run in leaf.runs
+        if run.request_id.startswith("late-")
+    ]
+
+
+@pytest.mark.parametrize("is_removed", [False, True])
+async def test_leaf_that_left_before_the_return_gets_no_requests(
+    harness, is_removed
+):
+    # The copy lists it as ready, and it does not write its entry again.
+    leaf = harness.leaf("single", "z1")
+    older = harness.store.take_copy()
+    if is_removed:
+        await harness.store.remove("servers", leaf.leaf_id)
+    else:
+        await harness.put_leaf_entry(leaf, "draining")
+    await asyncio.sleep(_DRAIN_S)
+    await harness.store.restore(older)
+    assert await _late_runs(harness, [leaf], 3.0) == []
+
+
+async def test_leaf_that_the_copy_lacks_serves_until_it_is_listed_again(
+    harness,
+):
+    leafs = [harness.leaf("single", zone) for zone in platform_harness.ZONES]
+    for leaf in leafs:
+        await harness.store.remove("servers", leaf.leaf_id)
+    older = harness.store.take_copy()
+    for leaf in leafs:
+        await harness.put_leaf_entry(leaf)
+    for front in range(_FRONT_COUNT):
+        await harness.wait_until_served("/one/x", 5, front)
+    await harness.store.restore(older)
+    end = asyncio.get_running_loop().time() + 3.0
+    written_again = False
+    while asyncio.get_running_loop().time() < end:
+        assert await _fronts_without(harness, "/one/x") == []
+        await asyncio.sleep(0.05)
+        if not written_again and asyncio.get_running_loop().time() > end - 1.8:
+            written_again = True
+            for leaf in leafs:
+                await harness.put_leaf_entry(leaf)
+
+
+async def test_zone_whose_evacuation_is_lost_gets_no_requests(harness):
+    leafs = [leaf for leaf in harness.leafs if leaf.zone == "z1"]
+    older = harness.store.take_copy()
+    await harness.store.put("evacuations", "z1", {})
+    await asyncio.sleep(1.0)
+    await harness.store.restore(older)
+    assert await _late_runs(harness, leafs, 2.0) == []
+    await harness.store.put("evacuations", "z1", {})
+    assert await _late_runs(harness, leafs, 1.0) == []
+    await harness.store.remove("evacuations", "z1")
+    await asyncio.sleep(1.0)
+    assert await _late_runs(harness, leafs, 1.0) != []
