Write the entries of hosts again after the store lost them

Seen by reading, shown by a test: a host writes its registry entry once a minute. After the store came back from an older copy the entry was missing for up to 60 s, and the other hosts dropped the host from the live ones with their next read, so that each took a larger share of the limits that hosts divide (BUDGET, FAILBACK) while all of them still used theirs.

Cause: the system's own entry was taken to be in the store until the next heartbeat.

Change: on a new era a host writes its entry again within 5 s, spread at random; hosts that the copy lacks stay live for 15 s. Nothing else of ours lies in the store of the platform, and no write there carries a condition on a revision (put falls back from PUT to POST on 404).

Evidence: two tests in test_live_hosts.py; with the rewrite taken out the second one fails (1 write in place of 2).

--- a/src/sassafrashold/front/_daemon.py
+++ b/src/sassafrashold/front/_daemon.py
@@ -221,6 +221,8 @@
             values.bootstrap,
             self._update_live_hosts,
             self._sourcing.start_without_peers,
+            topics.eras,
+            random_source,
             clock,
         )
         self._reach = _reach.ReachTask(
--- a/src/sassafrashold/front/_registry.py
+++ b/src/sassafrashold/front/_registry.py
@@ -3,8 +3,10 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
+import dataclasses
 import datetime
 import logging
+import random
 
 from sassafrashold import clock as clock_lib
 from sassafrashold import errors
@@ -17,6 +19,12 @@
 # Hosts that start at the same time have written their entries by then.
 _BOOTSTRAP_WAIT = datetime.timedelta(seconds=2)
 _READ_INTERVAL = datetime.timedelta(seconds=5)
+# After the store came back from an older copy, hosts write their entries again
+# within this time, so that hundreds do not write at once.
+_REWRITE_SPREAD = datetime.timedelta(seconds=5)
+# Hosts that the copy lacks count as live for this long: they notice the return
+# with a read, write their entries, and the list may be seconds old.
+_UNLISTED_HOST_RETENTION = 2 * _READ_INTERVAL + _REWRITE_SPREAD
 # A host whose heartbeat has not changed for three intervals is not live.
 _HOST_TIMEOUT = 3 * _HEARTBEAT_INTERVAL
 # The store does not expire entries. The live host that is first in name order
@@ -40,6 +48,13 @@
     )
 
 
+@dataclasses.dataclass(frozen=True)
+class _SeenHost:
+    entry: _interfaces.RegisteredHost
+    # Monotonic time at which its heartbeat changed last.
+    changed_at: datetime.timedelta
+
+
 class LiveHosts:
     """Detects live hosts by their changing heartbeats; does no I/O."""
 
@@ -50,7 +65,17 @@
             local_peer: This host.
         """
         self._local_peer = local_peer
-        self._heartbeat_by_host: dict[str, tuple[int, datetime.timedelta]] = {}
+        self._seen_by_host: dict[str, _SeenHost] = {}
+        self._unlisted_until = _ZERO
+
+    def keep_unlisted(self, until: datetime.timedelta) -> None:
+        """Keeps hosts whose entries the store has lost.
+
+        Args:
+            until: Monotonic time until which hosts that are no longer listed
+                stay live as if they were.
+        """
+        self._unlisted_until = until
 
     def update(
         self,
@@ -66,17 +91,23 @@
         Returns:
             The live hosts, sorted by name; always includes this host.
         """
-        peer_by_host = {self._local_peer.host: self._local_peer}
-        heartbeat_by_host = {}
+        seen_by_host = (
+            dict(self._seen_by_host) if now < self._unlisted_until else {}
+        )
         for host in hosts:
-            name = host.peer.host
-            last_heartbeat = self._heartbeat_by_host.get(name)
-            if last_heartbeat is None or last_heartbeat[0] != host.heartbeat:
-                last_heartbeat = (host.heartbeat, now)
-            heartbeat_by_host[name] = last_heartbeat
-            if now - last_heartbeat[1] < _HOST_TIMEOUT:
-                peer_by_host.setdefault(name, host.peer)
-        self._heartbeat_by_host = heartbeat_by_host
+            seen = self._seen_by_host.get(host.peer.host)
+            heartbeat_changed = (
+                seen is None or seen.entry.heartbeat != host.heartbeat
+            )
+            seen_by_host[host.peer.host] = _SeenHost(
+                host,
+                now if seen is None or heartbeat_changed else seen.changed_at,
+            )
+        self._seen_by_host = seen_by_host
+        peer_by_host = {self._local_peer.host: self._local_peer}
+        for name, seen in seen_by_host.items():
+            if now - seen.changed_at < _HOST_TIMEOUT:
+                peer_by_host.setdefault(name, seen.entry.peer)
         return tuple(peer_by_host[name] for name in sorted(peer_by_host))
 
     def hosts_to_remove(self, now: datetime.timedelta) -> tuple[str, ...]:
@@ -88,8 +119,8 @@
         first_live = min(
             (
                 name
-                for name, (_, changed_at) in self._heartbeat_by_host.items()
-                if now - changed_at < _HOST_TIMEOUT
+                for name, seen in self._seen_by_host.items()
+                if now - seen.changed_at < _HOST_TIMEOUT
             ),
             default=None,
         )
@@ -97,8 +128,8 @@
             return ()
         return tuple(
             name
-            for name, (_, changed_at) in self._heartbeat_by_host.items()
-            if now - changed_at >= _ENTRY_RETENTION
+            for name, seen in self._seen_by_host.items()
+            if now - seen.changed_at >= _ENTRY_RETENTION
         )
 
 
@@ -112,6 +143,8 @@
         bootstrap: bool,
         on_hosts: Callable[[tuple[relay.Peer, ...]], None],
         on_list_unavailable: Callable[[], None],
+        eras: relay.LatestEra,
+        random_source: random.Random,
         clock: clock_lib.Clock,
     ) -> None:
         """Initializes the task.
@@ -123,8 +156,13 @@
                 time.
             on_hosts: Called with the live hosts after each successful read.
             on_list_unavailable: Called when a read fails or returns no entry.
+            eras: Tells when the store came back from an older copy, which may
+                lack entries.
+            random_source: Spreads the writes of the hosts after such a return.
             clock: The clock.
         """
+        self._eras = eras
+        self._random = random_source
         self._registry = registry
         self._local_peer = local_peer
         self._bootstrap = bootstrap
@@ -144,7 +182,13 @@
             self._bootstrap = False
             self._publish(initial_hosts)
         last_write = self._last_write_of_previous_process(initial_hosts)
+        era = self._eras.value
         while True:
+            if self._eras.value > era:
+                era = self._eras.value
+                last_write = None
+                spread = _REWRITE_SPREAD * self._random.random()
+                await asyncio.sleep(spread.total_seconds())
             now = self._clock.monotonic()
             if last_write is None or now - last_write >= _HEARTBEAT_INTERVAL:
                 last_write = now if await self._write_entry() else last_write
@@ -154,7 +198,12 @@
                 self._bootstrap = False
             else:
                 await asyncio.sleep(_READ_INTERVAL.total_seconds())
-            self._publish(await self._read_hosts())
+            hosts = await self._read_hosts()
+            if self._eras.value > era:
+                self._live_hosts.keep_unlisted(
+                    self._clock.monotonic() + _UNLISTED_HOST_RETENTION
+                )
+            self._publish(hosts)
 
     def _last_write_of_previous_process(
         self, hosts: Iterable[_interfaces.RegisteredHost]
--- a/src/sassafrashold/front/tests/test_live_hosts.py
+++ b/src/sassafrashold/front/tests/test_live_hosts.py
@@ -7,6 +7,7 @@
 import asyncio
 import dataclasses
 import datetime
+import random
 from typing import Any
 from typing import cast
 
@@ -93,6 +94,8 @@
             bootstrap=False,
             on_hosts=lambda _: None,
             on_list_unavailable=lambda: None,
+            eras=relay.LatestEra(),
+            random_source=random.Random(1),
             clock=clock,
         ).run()
     )
@@ -111,3 +114,40 @@
 ):
     """Each of 195 restarted hosts wrote an entry that was there already."""
     assert await _writes_at_start(entry_age_s, zone) == writes
+
+
+def test_host_that_the_store_lost_with_an_older_copy_stays_live_for_a_while():
+    live = _registry.LiveHosts(_host("a", 0).peer)
+    live.update([_host("a", 1), _host("b", 1)], _seconds(0))
+    live.keep_unlisted(_seconds(15))
+    assert _names(live.update([_host("a", 1)], _seconds(10))) == ["a", "b"]
+    assert _names(live.update([_host("a", 1)], _seconds(20))) == ["a"]
+
+
+async def test_own_entry_is_written_again_after_the_store_returned_from_a_copy(
+    monkeypatch,
+):
+    monkeypatch.setattr(_registry, "_READ_INTERVAL", _seconds(0.01))
+    monkeypatch.setattr(_registry, "_REWRITE_SPREAD", _seconds(0.01))
+    eras = relay.LatestEra()
+    eras.note(1)
+    registry = _Registry([_host("a", 1)])
+    task = asyncio.create_task(
+        _registry.RegistryTask(
+            cast(Any, registry),
+            _host("a", 0).peer,
+            bootstrap=False,
+            on_hosts=lambda _: None,
+            on_list_unavailable=lambda: None,
+            eras=eras,
+            random_source=random.Random(1),
+            clock=clock_lib.ManualClock(),
+        ).run()
+    )
+    await asyncio.sleep(0.05)
+    writes = registry.writes
+    eras.note(2)
+    await asyncio.sleep(0.1)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    assert registry.writes == writes + 1
