--- a/src/sassafrashold/front/_sourcing.py
+++ b/src/sassafrashold/front/_sourcing.py
@@ -401,8 +401,8 @@
     async def _probe(self) -> bool:
         """Makes a cheap call for changes of the configuration.
 
-        Restarts the followers if there are any, or if the store has dropped its
-        history: their long polls have lost an answer, or will not get one. The
+        Reads all topics again if there are any, or if the store has dropped its
+        history: the long polls have lost an answer, or will not get one. The
         changes themselves are not applied, as a stale read may come from before
         the store's present era.
 
@@ -424,8 +424,7 @@
                 "long poll has missed changes",
                 extra={"topic": self._configuration.name},
             )
-            for follower in self._followers:
-                follower.restart(from_snapshot=False)
+            self._restart_from_snapshots()
         return True
 
     def _on_new_era(self, era: int) -> None:
