Tell the directory when a host ends an outage by following another

Leafs whose entries were removed meanwhile stayed a last resort without end.

Cause: reset() set the health of the store back without telling the directory, and a store that was fine afterwards was no change to report. Class: state kept twice, changed in one place.

Change: the health keeps what was seen last; a host tells the directory when it begins to follow a host (available) and when it reads the store itself (as seen last).

Evidence: test_host_that_follows_again_in_an_outage_knows_the_store_by_it failed before (15 s without the change) and passes; 24 tests of the store's followers passed.

--- a/src/sassafrashold/front/_follower.py
+++ b/src/sassafrashold/front/_follower.py
@@ -112,10 +112,11 @@
         self._on_change(True)
 
     def reset(self) -> None:
-        """Returns to the initial state when this host stops using the store."""
+        """Ends the confirmation, as this host stops using the store.
+
+        Whether the store is available stays as it was seen last.
+        """
         self._confirmed = False
-        self._unavailable.clear()
-        self._available.set()
 
     def _mark_available(self) -> None:
         if not self.is_unavailable:
--- a/src/sassafrashold/front/_sourcing.py
+++ b/src/sassafrashold/front/_sourcing.py
@@ -206,6 +206,8 @@
                 if poll.answered.host != following:
                     following = poll.answered.host
                     _LOGGER.info("following host", extra={"peer": following})
+                    # The other host knows the store's state.
+                    self._view.set_store_unavailable(False)
                 continue
             if not any(
                 isinstance(
@@ -308,6 +310,7 @@
         """
         _LOGGER.info("reading the store")
         self._reading_store = True
+        self._view.set_store_unavailable(self.health.is_unavailable)
         tasks = [
             asyncio.create_task(task)
             for task in (
--- a/src/sassafrashold/front/tests/test_zone_without_store.py
+++ b/src/sassafrashold/front/tests/test_zone_without_store.py
@@ -34,6 +34,7 @@
 class _View:
     def __init__(self, complete):
         self.is_complete = complete
+        self.store_unavailable = False
         self.mirror_by_topic = {name: relay.Mirror() for name in _TOPICS}
         if complete:
             for mirror in self.mirror_by_topic.values():
@@ -42,8 +43,8 @@
     def apply_batch(self, _name, _batch):
         self.is_complete = True
 
-    def set_store_unavailable(self, _unavailable):
-        pass
+    def set_store_unavailable(self, unavailable):
+        self.store_unavailable = unavailable
 
 
 class _Store:
@@ -119,6 +120,31 @@
             self.open_polls -= 1
 
 
+class _FailingStore(_WorkingStore):
+    """A store that fails while `error` is set."""
+
+    def __init__(self):
+        self.error = None
+
+    def topics(self):
+        working = super().topics()
+
+        def failing(call):
+            async def call_or_fail(*args):
+                if self.error is not None:
+                    raise self.error
+                return await call(*args)
+
+            return call_or_fail
+
+        for name in _TOPICS:
+            topic = getattr(working, name)
+            topic.snapshot = failing(topic.snapshot)
+            topic.changes = failing(topic.changes)
+            topic.stale_changes = failing(topic.stale_changes)
+        return working
+
+
 class _Client:
     """Behaves as the sources do: `failure` is raised while it is set."""
 
@@ -270,6 +296,39 @@
     await asyncio.gather(task, return_exceptions=True)
 
 
+async def test_host_that_follows_again_in_an_outage_knows_the_store_by_it():
+    # Guards against leafs whose entries lapse being kept for good: the host
+    # went on as in an outage after it had begun to follow another host.
+    store = _FailingStore()
+    client = _SilentHosts()
+    view = _View(complete=True)
+    sourcing = _sourcing.Sourcing(
+        cast(Any, view),
+        cast(Any, store.topics()),
+        cast(Any, client),
+        (),
+        random.Random(1),
+    )
+    sourcing.set_sources(_SOURCES[:3], 4)
+    task = asyncio.create_task(sourcing.run())
+    await _waiting.until(lambda: sourcing.reads_store, "reads the store", 5)
+    store.error = errors.StoreError(errors.ErrorCode.UNAVAILABLE, "down")
+    await _waiting.until(lambda: view.store_unavailable, "store lost", 5)
+    client.alive = _SOURCES[1]
+    await _waiting.until(
+        lambda: client.last_answer_at > 0 and not view.store_unavailable,
+        "store known by the other host",
+        10,
+    )
+    # It reads the store itself again, which is still down.
+    client.alive = None
+    await _waiting.until(lambda: view.store_unavailable, "store lost", 5)
+    store.error = None
+    await _waiting.until(lambda: not view.store_unavailable, "store back", 5)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
 async def test_hosts_whose_sources_die_in_an_outage_read_the_store():
     zone = _Zone(_without_store())
     await asyncio.sleep(0.1)
