Count a leaf that drains after its entry had lapsed as leaving

Seen by the review, shown by three tests of that failed: a leaf whose entry was removed in an outage, or lacking in an older copy, and that then reported that it drains was ready again after the store's next return, or a last resort again after the next outage (DRAIN).

Cause: the mark 'removed in an outage' outlived the draining report.

Change: the report clears the mark and starts the grace period. The three tests pass.

--- a/src/sassafrashold/directory/_directory.py
+++ b/src/sassafrashold/directory/_directory.py
@@ -308,8 +308,9 @@
             self._leaf_by_id[leaf_id] = known
         self._ids_by_service.setdefault(entry.service, set()).add(leaf_id)
         if entry.draining:
-            if known.usable_until is None:
+            if known.usable_until is None or known.removed_in_outage:
                 known.usable_until = now + self._grace_periods.draining
+                known.removed_in_outage = False
         else:
             known.usable_until = None
             known.removed_in_outage = False
