Keep what an older copy contradicts while the store is away

Seen by the review, shown by a test of that failed: a leaf that had left, and that the older copy lists, was usable again 5.6 s after the return although the store was away then, so that its entry could not have lapsed (DRAIN). The same held for zones out of service (EVAC).

Change: nothing kept from before a return ends while the store is unavailable; its time starts anew when the store is back.

--- a/src/sassafrashold/directory/_directory.py
+++ b/src/sassafrashold/directory/_directory.py
@@ -123,7 +123,8 @@
         """Records whether the store is available.
 
         When it recovers, the grace period of the leafs removed during the
-        outage starts.
+        outage starts, and that of the entries of an older copy starts anew, as
+        they may not have lapsed meanwhile.
 
         Args:
             unavailable: Whether the store is unavailable.
@@ -133,6 +134,7 @@
             for leaf in self._leaf_by_id.values():
                 if leaf.removed_in_outage:
                     leaf.usable_until = now + self._grace_periods.store_outage
+            self._contradicted_until = now + self._grace_periods.older_copy
         self._store_unavailable = unavailable
 
     def replace_all(
@@ -229,7 +231,7 @@
             )
             del self._leaf_by_id[leaf_id]
             self._ids_by_service[leaf.entry.service].discard(leaf_id)
-        if now >= self._contradicted_until:
+        if now >= self._contradicted_until and not self._store_unavailable:
             for entry in self._contradicted_by_id.values():
                 ended.extend(self._update(entry, now))
             self._contradicted_by_id = {}
--- a/src/sassafrashold/directory/_zones_out.py
+++ b/src/sassafrashold/directory/_zones_out.py
@@ -11,12 +11,14 @@
     """Zones out of service, across returns of the store from older copies.
 
     A zone whose entry was lost with a return stays out of service until its
-    entry is written again and removed, or the retention is over.
+    entry is written again and removed, or the retention is over. It is not
+    over while the store is unavailable, as the entry may be there again.
     """
 
     def __init__(self) -> None:
         self._listed: frozenset[str] = frozenset()
         self._kept_until_by_zone: dict[str, datetime.timedelta] = {}
+        self._store_unavailable = False
 
     @property
     def zones(self) -> frozenset[str]:
@@ -47,12 +49,30 @@
         else:
             self._listed -= {zone}
 
+    def set_store_unavailable(
+        self, unavailable: bool, now: datetime.timedelta
+    ) -> None:
+        """Records whether the store is available.
+
+        When it recovers, the retention starts anew.
+
+        Args:
+            unavailable: Whether the store is unavailable.
+            now: Monotonic time.
+        """
+        if self._store_unavailable and not unavailable:
+            for zone in self._kept_until_by_zone:
+                self._kept_until_by_zone[zone] = now + _RESTORED_ZONE_RETENTION
+        self._store_unavailable = unavailable
+
     def forget_expired(self, now: datetime.timedelta) -> bool:
         """Ends the retention of lost entries.
 
         Returns:
             Whether any ended.
         """
+        if self._store_unavailable:
+            return False
         expired = [
             zone
             for zone, until in self._kept_until_by_zone.items()
--- a/src/sassafrashold/front/_view.py
+++ b/src/sassafrashold/front/_view.py
@@ -221,9 +221,9 @@
 
         Leafs whose entries lapse meanwhile stay usable as a last resort.
         """
-        self._directory.set_store_unavailable(
-            unavailable, self._clock.monotonic()
-        )
+        now = self._clock.monotonic()
+        self._directory.set_store_unavailable(unavailable, now)
+        self._zones_out.set_store_unavailable(unavailable, now)
 
     def forget_expired(self) -> None:
         """Drops leafs that can no longer be used.
