Don't take the first era a host learns for a return of the store

A host that could not read the registry at its start took the first answer as a return from a copy, wrote its entry up to 5 s late and lost the entry of its previous process (by reading).

--- a/src/sassafrashold/front/_registry.py
+++ b/src/sassafrashold/front/_registry.py
@@ -184,11 +184,11 @@
         last_write = self._last_write_of_previous_process(initial_hosts)
         era = self._eras.value
         while True:
-            if self._eras.value > era:
-                era = self._eras.value
+            if self._has_returned_since(era):
                 last_write = None
                 spread = _REWRITE_SPREAD * self._random.random()
                 await asyncio.sleep(spread.total_seconds())
+            era = self._eras.value
             now = self._clock.monotonic()
             if last_write is None or now - last_write >= _HEARTBEAT_INTERVAL:
                 last_write = now if await self._write_entry() else last_write
@@ -199,12 +199,16 @@
             else:
                 await asyncio.sleep(_READ_INTERVAL.total_seconds())
             hosts = await self._read_hosts()
-            if self._eras.value > era:
+            if self._has_returned_since(era):
                 self._live_hosts.keep_unlisted(
                     self._clock.monotonic() + _UNLISTED_HOST_RETENTION
                 )
             self._publish(hosts)
 
+    def _has_returned_since(self, era: int) -> bool:
+        """Returns whether the store came back from a copy since an era."""
+        return 0 < era < self._eras.value
+
     def _last_write_of_previous_process(
         self, hosts: Iterable[_interfaces.RegisteredHost]
     ) -> datetime.timedelta | None:
