Let stale probes neither lose the store nor read it in a loop

Seen by the review, shown by three tests of that failed: a stale read that still shows the era before the return counted as an outage, with removed leafs as last resorts and followers turned away; a replica that lags answers 410, and each such probe read all topics again; the first era that a host saw did not end its long polls, so that a host which had started from a seed's copy followed changes up to 3.5 s late (CONFIG allows 3 s).

Cause: the probe's answers were taken as if they were current.

Change: an answer of an earlier era is an error of its own, which is no sign of an outage. A 410 of a probe is confirmed by a current watch before all is read; changes it shows lead to a list of the configuration alone. Any era above that of a host's copies ends its long polls; eras of other hosts' answers count. sassafras_store_away is 0 at a host that follows another.

--- a/src/sassafrashold/errors.py
+++ b/src/sassafrashold/errors.py
@@ -123,6 +123,18 @@
         )
 
 
+class EarlierEraError(StoreError):
+    """An answer is from before the store came back from an older copy."""
+
+    def __init__(self, call: str, era: int, latest_era: int) -> None:
+        """Initializes the error with the era of the answer and the latest."""
+        super().__init__(
+            ErrorCode.STORE_UNAVAILABLE,
+            f"{call}: answer of era {era}, but era {latest_era} has begun",
+            ran=Ran.OUTCOME_UNKNOWN,
+        )
+
+
 class SourceWithoutStoreError(StoreError):
     """A host to follow is alive but does not know the store's state."""
 
--- a/src/sassafrashold/front/_daemon.py
+++ b/src/sassafrashold/front/_daemon.py
@@ -491,7 +491,7 @@
             ("sassafras_leafs", len(self._directory.entries())),
             ("sassafras_hosts", len(self._state.share.hosts)),
             ("sassafras_ready", self.is_ready),
-            ("sassafras_store_away", self._sourcing.health.is_unavailable),
+            ("sassafras_store_away", self._sourcing.has_lost_store),
             ("sassafras_store_era", self._eras.value),
             (
                 "sassafras_zones_out_of_reach",
--- a/src/sassafrashold/front/_follower.py
+++ b/src/sassafrashold/front/_follower.py
@@ -73,6 +73,10 @@
         while True:
             try:
                 answered = await self._probe()
+            except errors.EarlierEraError as error:
+                # Stale reads may lag behind the store's return.
+                _LOGGER.info("probe ignored", extra={"cause": error.message})
+                self._mark_available()
             except errors.StoreError as error:
                 self.mark_unavailable(error)
             else:
@@ -207,6 +211,12 @@
                         _BACKOFF.delay(histories_gone).total_seconds()
                     )
                 self._on_history_gone()
+            except errors.EarlierEraError as error:
+                _LOGGER.info(
+                    "answer from before the store's return ignored",
+                    extra={"topic": self._topic.name, "cause": error.message},
+                )
+                await asyncio.sleep(_BACKOFF.delay(1).total_seconds())
             except errors.StoreError as error:
                 failures += 1
                 if failures == 1:
--- a/src/sassafrashold/front/_sourcing.py
+++ b/src/sassafrashold/front/_sourcing.py
@@ -48,6 +48,7 @@
 _LEAF_BATCHING_DELAY = datetime.timedelta(milliseconds=400)
 # A healthy store answers a starting host in a fraction of this time.
 _SEED_COPY_INTERVAL = datetime.timedelta(milliseconds=500)
+_NO_WAIT = datetime.timedelta()
 _CONFIGURATION_BATCHING_DELAY = datetime.timedelta(milliseconds=50)
 
 
@@ -95,6 +96,9 @@
         self._other_hosts: tuple[relay.Peer, ...] = ()
         self._sources_changed = asyncio.Event()
         self._configuration = topics.configuration
+        self._configuration_mirror = view.mirror_by_topic[
+            topics.configuration.name
+        ]
         topics.eras.on_rise = self._on_new_era
         self._reading_store = False
         self.health = _follower.StoreHealth(
@@ -117,6 +121,13 @@
             )
         )
 
+        self._configuration_follower = self._followers[0]
+
+    @property
+    def has_lost_store(self) -> bool:
+        """Whether this host reads the store and the store does not answer."""
+        return self._reading_store and self.health.is_unavailable
+
     @property
     def reads_store(self) -> bool:
         """Whether this host reads the store, so that other hosts may follow.
@@ -404,22 +415,24 @@
     async def _probe(self) -> bool:
         """Makes a cheap call for changes of the configuration.
 
-        Reads all topics again if there are any, or if the store has dropped its
-        history: the long polls have lost an answer, or will not get one. The
-        changes themselves are not applied, as a stale read may come from before
-        the store's present era.
+        Reads the configuration again if there are any, and all topics if the
+        store has dropped its history: the long polls have lost an answer, or
+        will not get one. What a stale read shows is not applied, as it may come
+        from before the store's present era.
 
         Returns:
             Whether a call was made; False while no position is known.
         """
-        mirror = self._view.mirror_by_topic[self._configuration.name]
+        mirror = self._configuration_mirror
         position = mirror.position
         if position is None:
             return False
         try:
             batch = await self._configuration.stale_changes(position)
         except errors.HistoryGoneError:
-            if position == mirror.position:
+            if position == mirror.position and await self._is_history_gone(
+                position
+            ):
                 self._restart_from_snapshots()
             return True
         if batch.documents and position == mirror.position:
@@ -427,18 +440,37 @@
                 "long poll has missed changes",
                 extra={"topic": self._configuration.name},
             )
-            self._restart_from_snapshots()
+            self._configuration_follower.restart(from_snapshot=True)
         return True
 
+    async def _is_history_gone(self, position: relay.Position) -> bool:
+        """Asks whether current reads lack the changes since a position too.
+
+        A stale read may lag behind a position that the host has reached.
+        """
+        try:
+            await self._configuration.changes(position, _NO_WAIT)
+        except errors.HistoryGoneError:
+            return position == self._configuration_mirror.position
+        return False
+
     def _on_new_era(self, era: int) -> None:
         """Reads all topics again after the store came back from a copy."""
+        positions = {
+            name: mirror.position
+            for name, mirror in self._view.mirror_by_topic.items()
+        }
+        if not any(
+            position is not None and position.era < era
+            for position in positions.values()
+        ):
+            return
         _LOGGER.warning(
             "store has returned from an older copy; reading all",
             extra={
                 "era": era,
                 "positions": {
-                    name: str(mirror.position)
-                    for name, mirror in self._view.mirror_by_topic.items()
+                    name: str(position) for name, position in positions.items()
                 },
             },
         )
--- a/src/sassafrashold/front/_view.py
+++ b/src/sassafrashold/front/_view.py
@@ -152,6 +152,7 @@
         reached = mirror.position
         self._answered_at_by_topic[topic] = self._clock.monotonic()
         changed = mirror.apply(batch)
+        self._topics.eras.note(batch.position.era)
         if reached is not None and batch.position < reached:
             self._note_ignored(topic, batch, reached, source)
         if not changed:
--- a/src/sassafrashold/front/tests/test_returns_and_probes.py
+++ b/src/sassafrashold/front/tests/test_returns_and_probes.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 from types import SimpleNamespace
+from typing import Any
+from typing import cast
 
 from aiohttp import web
 
@@ -89,6 +91,16 @@
         return relay.Batch((), relay.Position(self.era, self._head(self.lag)))
 
 
+def _sourcing_of(view, topics):
+    return _sourcing.Sourcing(
+        cast(Any, view),
+        cast(Any, topics),
+        cast(Any, None),
+        (),
+        random.Random(1),
+    )
+
+
 async def _run_for(sourcing, seconds):
     sourcing.start_without_peers()
     task = asyncio.create_task(sourcing.run())
@@ -100,9 +112,7 @@
 async def test_probe_of_a_replica_that_lags_does_not_read_all_each_second():
     store = _Store(relay.LatestEra(), era=1, lag=2.0)
     view = _View()
-    sourcing = _sourcing.Sourcing(
-        view, store.topics(), None, (), random.Random(1)
-    )
+    sourcing = _sourcing_of(view, store.topics())
     await _run_for(sourcing, 6.5)
     assert store.snapshots <= 2 * len(_TOPICS)
 
@@ -112,11 +122,12 @@
     # after it: changes are due within 3 s, a long poll takes 3.5 s.
     store = _Store(relay.LatestEra(), era=2)
     view = _View(relay.Position(1, 900))
-    sourcing = _sourcing.Sourcing(
-        view, store.topics(), None, (), random.Random(1)
-    )
+    sourcing = _sourcing_of(view, store.topics())
     await _run_for(sourcing, 2.5)
-    eras = {m.position.era for m in view.mirror_by_topic.values()}
+    eras = {
+        mirror.position and mirror.position.era
+        for mirror in view.mirror_by_topic.values()
+    }
     assert eras == {2}
 
 
@@ -145,7 +156,7 @@
         leafs=platform_topics.LeafTopic(client),
         zones_out=platform_topics.ZonesOutTopic(client),
     )
-    sourcing = _sourcing.Sourcing(view, topics, None, (), random.Random(1))
+    sourcing = _sourcing_of(view, topics)
     await _run_for(sourcing, 2.5)
     await client.close()
     await runner.cleanup()
--- a/src/sassafrashold/platform/store_client.py
+++ b/src/sassafrashold/platform/store_client.py
@@ -301,7 +301,8 @@
             The era; the latest one if the answer does not say.
 
         Raises:
-            StoreError: The answer belongs to an earlier era.
+            EarlierEraError: The answer belongs to an earlier era.
+            StoreError: The header can't be read.
         """
         if header is None:
             return self._eras.value
@@ -311,12 +312,7 @@
             raise _bad_document(f"{call}: {_ERA_HEADER}: expected a number")
         era = int(header)
         if era < self._eras.value:
-            raise errors.StoreError(
-                errors.ErrorCode.STORE_UNAVAILABLE,
-                f"{call}: answer of era {era}, but era {self._eras.value} "
-                "has begun",
-                ran=errors.Ran.OUTCOME_UNKNOWN,
-            )
+            raise errors.EarlierEraError(call, era, self._eras.value)
         self._eras.note(era)
         return era
 
--- a/src/sassafrashold/relay/_position.py
+++ b/src/sassafrashold/relay/_position.py
@@ -57,11 +57,10 @@
     def note(self, era: int) -> None:
         """Records an era that was seen.
 
-        Calls `on_rise` with the era if it is later than one known before.
+        Calls `on_rise` with the era if it is later than those seen before.
         """
-        known = self._value
-        if known is not None and era <= known:
+        if self._value is not None and era <= self._value:
             return
         self._value = era
-        if known is not None and self.on_rise is not None:
+        if self.on_rise is not None:
             self.on_rise(era)
