Bound the lines about returns and show answers that leave a gap

Cause: the lines `leafs listed from an older copy`, `long poll has missed changes` and `store has returned from an older copy; reading all` had no limit, and the first of them listed all contradicted leafs. An answer that does not continue the copy was left out without a line or a count. A missing position was logged as the text "None".

Change: five lines a second at most of each kind, and 20 ids. An answer that leaves a gap has a line and counts in sassafras_topic_answers_ignored. `long poll has missed changes` has the position reached and the one shown. RequestLog can add the version, the place and the age of the configuration's copy to the line of a request; the daemon does not pass them yet.

Tests of front and platform: 875 passed.

--- a/src/sassafrashold/front/_metrics.py
+++ b/src/sassafrashold/front/_metrics.py
@@ -78,7 +78,7 @@
         )
         self._ignored_batches = prometheus_client.Gauge(
             "sassafras_topic_answers_ignored",
-            "Answers that were older than the copy of a topic, so far.",
+            "Answers older than the copy of a topic or with a gap, so far.",
             ("topic",),
             registry=self._registry,
         )
--- a/src/sassafrashold/front/_request_log.py
+++ b/src/sassafrashold/front/_request_log.py
@@ -1,5 +1,6 @@
 """Logs requests that failed, were late or incomplete, and samples the rest."""
 
+from collections.abc import Callable
 import datetime
 import logging
 
@@ -7,6 +8,7 @@
 from sassafrashold import clock as clock_lib
 from sassafrashold import telemetry
 from sassafrashold.front import _requests
+from sassafrashold.front import _view
 
 _LOGGER = logging.getLogger("sassafrashold.request")
 _MAX_FAILURE_LINES_PER_SECOND = 50
@@ -18,12 +20,19 @@
 class RequestLog:
     """Logs how requests ended, with a rate limit for each outcome."""
 
-    def __init__(self, clock: clock_lib.Clock) -> None:
+    def __init__(
+        self,
+        clock: clock_lib.Clock,
+        knowledge: Callable[[], _view.Knowledge] | None = None,
+    ) -> None:
         """Initializes the log.
 
         Args:
             clock: The clock.
+            knowledge: Returns what requests are handled by; asked only for
+                lines that are written. None leaves these fields out.
         """
+        self._knowledge = knowledge
         self._failure_budget = telemetry.LineBudget(
             _MAX_FAILURE_LINES_PER_SECOND, clock
         )
@@ -74,7 +83,13 @@
             "status": reply.status if reply else None,
             "duration_ms": duration // _MILLISECOND,
         }
+        if self._knowledge is not None:
+            known = self._knowledge()
+            extra["configuration"] = known.configuration
+            extra["copy"] = _view.position_text(known.position)
+            extra["copy_age_ms"] = known.age // _MILLISECOND
         if reply is not None:
+            # The version that the request was handled by, if it was routed.
             extra.update(reply.log_fields)
         if reply is not None and reply.missing:
             extra["missing"] = reply.missing
--- a/src/sassafrashold/front/_sourcing.py
+++ b/src/sassafrashold/front/_sourcing.py
@@ -9,9 +9,11 @@
 import random
 from typing import Any
 
+from sassafrashold import clock as clock_lib
 from sassafrashold import errors
 from sassafrashold import relay
 from sassafrashold import settings
+from sassafrashold import telemetry
 from sassafrashold.front import _follower
 from sassafrashold.front import _peers
 from sassafrashold.front import _view
@@ -49,6 +51,9 @@
 # A healthy store answers a starting host in a fraction of this time.
 _SEED_COPY_INTERVAL = datetime.timedelta(milliseconds=500)
 _CONFIGURATION_BATCHING_DELAY = datetime.timedelta(milliseconds=50)
+# For each kind of line about a new era or missed changes; a store that changes
+# its era in a loop must not fill the log.
+_MAX_STORE_LINES_PER_SECOND = 5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -72,6 +77,7 @@
         client: _peers.PeerClient,
         seeds: Sequence[settings.Address],
         random_source: random.Random,
+        clock: clock_lib.Clock | None = None,
     ) -> None:
         """Initializes the task.
 
@@ -81,7 +87,11 @@
             client: Reads from other hosts.
             seeds: Hosts to copy from if the store is unavailable at the start.
             random_source: Selects the followers that try the store.
+            clock: Limits log lines; the clock of the operating system if None.
         """
+        self._log_budget = telemetry.LineBudget(
+            _MAX_STORE_LINES_PER_SECOND, clock or clock_lib.SystemClock()
+        )
         self._random = random_source
         self._zone_hosts = 1
         self._follows_reader = False
@@ -423,25 +433,34 @@
                 self._restart_from_snapshots()
             return True
         if batch.documents and position == mirror.position:
-            _LOGGER.info(
+            self._log_budget.info(
+                _LOGGER,
+                "missed changes",
                 "long poll has missed changes",
-                extra={"topic": self._configuration.name},
+                {
+                    "topic": self._configuration.name,
+                    "position": str(position),
+                    "shown": str(batch.position),
+                },
             )
             self._restart_from_snapshots()
         return True
 
     def _on_new_era(self, era: int) -> None:
         """Reads all topics again after the store came back from a copy."""
-        _LOGGER.warning(
-            "store has returned from an older copy; reading all",
-            extra={
-                "era": era,
-                "positions": {
-                    name: str(mirror.position)
-                    for name, mirror in self._view.mirror_by_topic.items()
+        left_out = self._log_budget.admit("new era")
+        if left_out is not None:
+            _LOGGER.warning(
+                "store has returned from an older copy; reading all",
+                extra={
+                    "era": era,
+                    "positions": {
+                        name: _view.position_text(mirror.position)
+                        for name, mirror in self._view.mirror_by_topic.items()
+                    },
+                    "lines_left_out": left_out,
                 },
-            },
-        )
+            )
         for follower in self._followers:
             follower.restart(from_snapshot=False)
 
--- a/src/sassafrashold/front/_view.py
+++ b/src/sassafrashold/front/_view.py
@@ -22,6 +22,8 @@
 # For each topic and kind of line; a source that is asked in a loop must not
 # fill the log.
 _MAX_BATCH_LINES_PER_SECOND = 5
+# A line that lists hundreds of leafs would hold up requests.
+_MAX_LISTED_IDS = 20
 # Source of batches that no other host has sent.
 STORE = "store"
 
@@ -64,7 +66,21 @@
     """Time since the store or another host last answered for the topic."""
 
     ignored_batches: int
-    """Number of batches that were older than the copy."""
+    """Number of batches that were older than the copy or left a gap."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Knowledge:
+    """What requests are handled by, for their log lines."""
+
+    configuration: int | None
+    """Version in force; None before the first one."""
+
+    position: relay.Position | None
+    """Place in the store's history of the copy of the configuration."""
+
+    age: datetime.timedelta
+    """Time since a source last answered for the configuration."""
 
 
 class View:
@@ -131,6 +147,16 @@
             for topic, mirror in self.mirror_by_topic.items()
         )
 
+    def knowledge(self) -> Knowledge:
+        """Returns what requests are handled by at present."""
+        topic = self._topics.configuration.name
+        current = self._table.current
+        return Knowledge(
+            current.version if current is not None else None,
+            self.mirror_by_topic[topic].position,
+            self._clock.monotonic() - self._answered_at_by_topic[topic],
+        )
+
     def confirm_all(self) -> None:
         """Records that a source has answered for all topics."""
         now = self._clock.monotonic()
@@ -152,7 +178,7 @@
         reached = mirror.position
         self._answered_at_by_topic[topic] = self._clock.monotonic()
         changed = mirror.apply(batch)
-        if reached is not None and batch.position < reached:
+        if reached is not None and mirror.position != batch.position:
             self._note_ignored(topic, batch, reached, source)
         if not changed:
             return
@@ -165,7 +191,7 @@
                 {
                     "topic": topic,
                     "position": str(batch.position),
-                    "before": str(reached),
+                    "before": position_text(reached),
                     "source": source,
                     "documents": len(batch.documents),
                     "snapshot": batch.is_snapshot,
@@ -203,18 +229,23 @@
         source: str,
     ) -> None:
         self._ignored_by_topic[topic] += 1
-        if batch.documents or batch.is_snapshot:
-            self._log_budget.info(
-                _LOGGER,
-                f"{topic} ignored",
-                "older answer ignored",
-                {
-                    "topic": topic,
-                    "position": str(batch.position),
-                    "reached": str(reached),
-                    "source": source,
-                },
-            )
+        is_older = batch.position < reached
+        if is_older and not (batch.documents or batch.is_snapshot):
+            return
+        self._log_budget.info(
+            _LOGGER,
+            f"{topic} {'ignored' if is_older else 'gap'}",
+            "older answer ignored"
+            if is_older
+            else "answer that leaves a gap ignored",
+            {
+                "topic": topic,
+                "position": str(batch.position),
+                "since": position_text(batch.since),
+                "reached": str(reached),
+                "source": source,
+            },
+        )
 
     def set_store_unavailable(self, unavailable: bool) -> None:
         """Records whether the store is unavailable.
@@ -330,11 +361,15 @@
         self._drop_leafs(
             self._directory.restore(entries, self._clock.monotonic())
         )
-        _LOGGER.info(
+        contradicted = sorted(self._directory.contradicted_ids)
+        self._log_budget.info(
+            _LOGGER,
+            "leafs listed from an older copy",
             "leafs listed from an older copy",
-            extra={
+            {
                 "leafs": len(entries),
-                "contradicted": sorted(self._directory.contradicted_ids),
+                "contradicted": contradicted[:_MAX_LISTED_IDS],
+                "contradicted_leafs": len(contradicted),
             },
         )
 
@@ -413,3 +448,8 @@
                 "zones out of service changed", extra={"zones": sorted(zones)}
             )
         self._directory.set_zones_out(zones)
+
+
+def position_text(position: relay.Position | None) -> str | None:
+    """Returns a position as log lines show it."""
+    return None if position is None else str(position)
