--- a/src/sassafrashold/front/_daemon.py
+++ b/src/sassafrashold/front/_daemon.py
@@ -146,7 +146,9 @@
             protocol, clock, values.max_answer_bytes
         )
         self._metrics = _metrics.FrontMetrics()
-        self._log = _request_log.RequestLog(clock)
+        self._log = _request_log.RequestLog(
+            clock, lambda: self._view.knowledge()
+        )
         self._view_complete = asyncio.Event()
         self._client_memory = _client_memory.ClientMemory(
             values.max_client_bytes, clock
@@ -193,6 +195,7 @@
             _peers.PeerClient(self._view, self._peer_http),
             [seed for seed in values.seeds if seed != values.peer_address],
             random_source,
+            clock,
         )
         self._peer_server = _peers.PeerServer(
             self._view,
--- a/src/sassafrashold/front/_sourcing.py
+++ b/src/sassafrashold/front/_sourcing.py
@@ -9,9 +9,11 @@
 import random
 from typing import Any
 
+from sassafrashold import clock as clock_lib
 from sassafrashold import errors
 from sassafrashold import relay
 from sassafrashold import settings
+from sassafrashold import telemetry
 from sassafrashold.front import _follower
 from sassafrashold.front import _peers
 from sassafrashold.front import _view
@@ -50,6 +52,9 @@
 _SEED_COPY_INTERVAL = datetime.timedelta(milliseconds=500)
 _NO_WAIT = datetime.timedelta()
 _CONFIGURATION_BATCHING_DELAY = datetime.timedelta(milliseconds=50)
+# For each kind of line about a new era or missed changes; a store that changes
+# its era in a loop must not fill the log.
+_MAX_STORE_LINES_PER_SECOND = 5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -73,6 +78,7 @@
         client: _peers.PeerClient,
         seeds: Sequence[settings.Address],
         random_source: random.Random,
+        clock: clock_lib.Clock | None = None,
     ) -> None:
         """Initializes the task.
 
@@ -82,7 +88,11 @@
             client: Reads from other hosts.
             seeds: Hosts to copy from if the store is unavailable at the start.
             random_source: Selects the followers that try the store.
+            clock: Limits log lines; the clock of the operating system if None.
         """
+        self._log_budget = telemetry.LineBudget(
+            _MAX_STORE_LINES_PER_SECOND, clock or clock_lib.SystemClock()
+        )
         self._random = random_source
         self._zone_hosts = 1
         self._follows_reader = False
@@ -436,9 +446,15 @@
                 self._restart_from_snapshots()
             return True
         if batch.documents and position == mirror.position:
-            _LOGGER.info(
+            self._log_budget.info(
+                _LOGGER,
+                "missed changes",
                 "long poll has missed changes",
-                extra={"topic": self._configuration.name},
+                {
+                    "topic": self._configuration.name,
+                    "position": str(position),
+                    "shown": str(batch.position),
+                },
             )
             self._configuration_follower.restart(from_snapshot=True)
         return True
@@ -465,15 +481,19 @@
             for position in positions.values()
         ):
             return
-        _LOGGER.warning(
-            "store has returned from an older copy; reading all",
-            extra={
-                "era": era,
-                "positions": {
-                    name: str(position) for name, position in positions.items()
+        left_out = self._log_budget.admit("new era")
+        if left_out is not None:
+            _LOGGER.warning(
+                "store has returned from an older copy; reading all",
+                extra={
+                    "era": era,
+                    "positions": {
+                        name: _view.position_text(position)
+                        for name, position in positions.items()
+                    },
+                    "lines_left_out": left_out,
                 },
-            },
-        )
+            )
         for follower in self._followers:
             follower.restart(from_snapshot=False)
 
