Test that all copies become what the store holds

Random series of writes, returns from copies, dropped histories, polls and late answers; after each step every copy has to be what the store held at the copy's position.

--- a/src/sassafrashold/relay/tests/test_eras_converge.py
+++ b/src/sassafrashold/relay/tests/test_eras_converge.py
@@ -47,6 +47,8 @@
         self._past = [self._now]
         # Lost with the latest return, oldest first.
         self._lost: list[_Change] = []
+        # What it held at each place of all its histories.
+        self.contents_by_position = {self.position: self.content_by_name}
 
     @property
     def content_by_name(self) -> dict[str, int]:
@@ -101,6 +103,7 @@
             if change.revision > self._now.revision
         ]
         self.era += 1
+        self.contents_by_position[self.position] = self.content_by_name
 
     def write_again(self) -> None:
         """Writes the oldest change that was lost, as operators and leafs do."""
@@ -134,6 +137,7 @@
     def _advance(self, state: _StoreCopy) -> None:
         self._now = state
         self._past.append(state)
+        self.contents_by_position[self.position] = self.content_by_name
 
 
 @dataclasses.dataclass(frozen=True)
@@ -271,21 +275,26 @@
 
 
 _host_numbers = strategies.integers(0, _HOSTS - 1)
+_write = strategies.builds(
+    _Write,
+    strategies.sampled_from(_NAMES),
+    strategies.none() | strategies.integers(1, _CONTENTS),
+)
+_write_again = strategies.builds(_WriteAgain)
+_read_store = strategies.builds(_ReadStore, _host_numbers)
+_ask_host = strategies.builds(
+    _AskHost, _host_numbers, _host_numbers, strategies.booleans()
+)
+# Repeated where series without enough of them show little.
 _steps = strategies.one_of(
-    strategies.builds(
-        _Write,
-        strategies.sampled_from(_NAMES),
-        strategies.none() | strategies.integers(1, _CONTENTS),
-    ),
-    strategies.builds(_WriteAgain),
+    *[_write] * 2,
+    *[_write_again] * 2,
+    *[_read_store] * 3,
+    *[_ask_host] * 3,
     strategies.builds(_CountUp),
     strategies.builds(_DropHistory),
     strategies.builds(_Return, strategies.integers(0, 6)),
-    strategies.builds(_ReadStore, _host_numbers),
     strategies.builds(_AskStore, _host_numbers),
-    strategies.builds(
-        _AskHost, _host_numbers, _host_numbers, strategies.booleans()
-    ),
     strategies.builds(_Receive, _host_numbers, strategies.integers(0, 3)),
     strategies.builds(_LoseAnswers, _host_numbers),
     strategies.builds(_StartAnew, _host_numbers),
@@ -332,13 +341,62 @@
             host.receive(0)
 
 
+def _assert_copies_are_of_their_positions(
+    store: _Store, hosts: list[_Host]
+) -> None:
+    for host in hosts:
+        position = host.mirror.position
+        if position is not None:
+            expected = store.contents_by_position[position]
+            assert host.content_by_name == expected, str(position)
+
+
+_HISTORY_IS_DROPPED = (
+    _ReadStore(0),
+    _Write("a", 1),
+    _DropHistory(),
+    _ReadStore(2),
+    _Write("a", None),
+    _ReadStore(0),
+    _AskHost(2, 0, arrives=True),
+)
+_WRITTEN_AGAIN_AFTER_A_RETURN = (
+    _Write("a", 1),
+    _ReadStore(0),
+    _Return(1),
+    _ReadStore(2),
+    _WriteAgain(),
+    # The first answer shows the new era.
+    _ReadStore(0),
+    _AskHost(2, 0, arrives=True),
+)
+_TWO_HOSTS_ANSWER_AFTER_A_RETURN = (
+    _Write("a", 1),
+    _ReadStore(0),
+    _ReadStore(1),
+    _AskHost(2, 0, arrives=True),
+    _Return(1),
+    _ReadStore(0),
+    _WriteAgain(),
+    _ReadStore(1),
+    _AskHost(2, 0, arrives=False),
+    _AskHost(2, 1, arrives=False),
+    _Receive(2, 0),
+    _Receive(2, 0),
+)
+
+
 @hypothesis.settings(max_examples=400, deadline=None)
-@hypothesis.given(strategies.lists(_steps, min_size=20, max_size=60))
+@hypothesis.example(_HISTORY_IS_DROPPED)
+@hypothesis.example(_WRITTEN_AGAIN_AFTER_A_RETURN)
+@hypothesis.example(_TWO_HOSTS_ANSWER_AFTER_A_RETURN)
+@hypothesis.given(strategies.lists(_steps, min_size=30, max_size=60))
 def test_every_host_has_what_the_store_has_after_quiet(steps):
     store = _Store()
     hosts = [_Host() for _ in range(_HOSTS)]
     for step in steps:
         _run(step, store, hosts)
+        _assert_copies_are_of_their_positions(store, hosts)
     _settle(store, hosts)
     assert [host.content_by_name for host in hosts] == (
         [store.content_by_name] * _HOSTS
