Don't take a leaf that two copies lack for one that has left

Cause: restore renewed the grace only of leafs that were ready, and whatever was dropped was remembered as having left. Change: both go by whether the leaf has left.

--- a/src/sassafrashold/directory/_directory.py
+++ b/src/sassafrashold/directory/_directory.py
@@ -170,7 +170,7 @@
         """
         listed = {entry.ref.leaf_id: entry for entry in entries}
         for leaf_id, leaf in self._leaf_by_id.items():
-            if leaf_id not in listed and leaf.usable_until is None:
+            if leaf_id not in listed and not leaf.has_left:
                 leaf.removed_in_outage = True
                 leaf.usable_until = (
                     _NO_END
@@ -226,9 +226,10 @@
             if leaf.entry.draining:
                 continue
             ended.append(leaf.entry.ref)
-            self._left_by_id[leaf_id] = _LeftLeaf(
-                leaf.entry.ref.born_unix_ms, now
-            )
+            if leaf.has_left:
+                self._left_by_id[leaf_id] = _LeftLeaf(
+                    leaf.entry.ref.born_unix_ms, now
+                )
             del self._leaf_by_id[leaf_id]
             self._ids_by_service[leaf.entry.service].discard(leaf_id)
         if now >= self._contradicted_until and not self._store_unavailable:
--- a/src/sassafrashold/relay/_position.py
+++ b/src/sassafrashold/relay/_position.py
@@ -46,20 +46,21 @@
 
     def __init__(self) -> None:
         """Initializes the tracker; no era is known yet."""
-        self._value: int | None = None
+        self._value = 0
         self.on_rise: Callable[[int], None] | None = None
 
     @property
     def value(self) -> int:
         """The latest era; 0 before the first one is known."""
-        return self._value or 0
+        return self._value
 
     def note(self, era: int) -> None:
         """Records an era that was seen.
 
-        Calls `on_rise` with the era if it is later than those seen before.
+        Calls `on_rise` with the era if it is later than those seen before, also
+        with the first one: copies of other hosts may be of an earlier era.
         """
-        if self._value is not None and era <= self._value:
+        if era <= self._value:
             return
         self._value = era
         if self.on_rise is not None:
