Stand-in store: orphaned watches, lost answers, stale reads, kept copies

Cause: the stand-in had one kind of return (watches cut off) and stale reads were always current, so that troubles around a return could not be played. Change: restore(cuts_watches=False), loses_watch_answers, stale_lag_s, keep_copies and copy_older_than. Specs are copied when they are written: the history held lists that the harness changed later.

--- a/src/sassafrashold/standins/objects_store.py
+++ b/src/sassafrashold/standins/objects_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import copy
 import dataclasses
 import json
@@ -10,7 +11,8 @@
 from aiohttp import web
 
 _PAGE = 50
-
+_COPY_INTERVAL_S = 0.1
+_MAX_COPIES = 200
 
 ERA_HEADER = "Store-Era"
 
@@ -36,6 +38,21 @@
     changes: tuple[_Change, ...]
     """The history up to the revision."""
 
+    oldest: int
+    """Revision after which the history is complete."""
+
+    def has_history(self, revision: int) -> bool:
+        """Returns whether the history leads on from a revision."""
+        return self.oldest <= revision <= self.revision
+
+    def since(self, kind: str, revision: int) -> list[_Change]:
+        """Returns the changes of a kind after a revision."""
+        return [
+            change
+            for change in self.changes
+            if change.kind == kind and change.revision > revision
+        ]
+
 
 class ObjectsStore:
     """Keeps objects in memory and speaks the store's protocol.
@@ -43,7 +60,10 @@
     Faults are set by the owner of the stand-in: `away` answers every call
     with 503, `silent` holds calls until it is reset, `loses_calls` never
     answers the calls that arrive while it is set, `forget_history` drops old
-    changes, `restore` goes back to an older copy.
+    changes, `restore` goes back to an older copy. `loses_watch_answers` gives
+    no answer to a watch that would have one while it is set. `stale_lag_s` is
+    the age in seconds of what stale reads show, while `keep_copies` runs; after
+    a return that is still the history from before it.
     """
 
     def __init__(self, *, sends_era: bool = True) -> None:
@@ -58,12 +78,18 @@
         self.away = False
         self.silent = False
         self.loses_calls = False
+        self.loses_watch_answers = False
+        self.stale_lag_s = 0.0
         self.count_by_call: collections.Counter[str] = collections.Counter()
         self._revision = 1
         self._oldest = 1
         self._object_by_key: dict[tuple[str, str], dict[str, Any]] = {}
         self._changes: list[_Change] = []
         self._changed = asyncio.Condition()
+        self._cuts_watches = True
+        self._copies: collections.deque[tuple[float, Copy]] = collections.deque(
+            maxlen=_MAX_COPIES
+        )
 
     def application(self) -> web.Application:
         """Returns the HTTP application."""
@@ -98,7 +124,7 @@
                 "finalizers": [],
                 "deleting": False,
             },
-            "spec": spec,
+            "spec": copy.deepcopy(spec),
             "status": None,
         }
         self._object_by_key[kind, name] = document
@@ -124,19 +150,46 @@
         """Returns a copy of the objects and their history."""
         return Copy(
             self._revision,
-            copy.deepcopy(self._object_by_key),
+            dict(self._object_by_key),
             tuple(self._changes),
+            self._oldest,
         )
 
-    async def restore(self, older: Copy) -> None:
+    async def keep_copies(self) -> None:
+        """Takes copies on a clock until cancelled; keeps a bounded number."""
+        while True:
+            now = asyncio.get_running_loop().time()
+            self._copies.append((now, self.take_copy()))
+            await asyncio.sleep(_COPY_INTERVAL_S)
+
+    def copy_older_than(self, age_s: float) -> Copy:
+        """Returns the newest copy that `keep_copies` took before an age.
+
+        Raises:
+            LookupError: No copy is that old.
+        """
+        limit = asyncio.get_running_loop().time() - age_s
+        for taken_at, kept in reversed(self._copies):
+            if taken_at <= limit:
+                return kept
+        raise LookupError(f"no copy is older than {age_s} s")
+
+    async def restore(self, older: Copy, *, cuts_watches: bool = True) -> None:
         """Returns from an older copy, which begins a new era.
 
-        Everything written since the copy is lost, its revisions are given out
-        again, and the watches that wait are cut off.
+        Everything written since the copy is lost and its revisions are given
+        out again.
+
+        Args:
+            older: The copy.
+            cuts_watches: Whether the watches that wait are cut off; if not,
+                they never get an answer.
         """
         self.era += 1
+        self._cuts_watches = cuts_watches
         self._revision = older.revision
-        self._object_by_key = copy.deepcopy(older.object_by_key)
+        self._oldest = older.oldest
+        self._object_by_key = dict(older.object_by_key)
         self._changes = list(older.changes)
         async with self._changed:
             self._changed.notify_all()
@@ -162,6 +215,8 @@
         if self.away:
             return web.Response(status=503)
         response: web.StreamResponse = await handler(request)
+        if self.loses_watch_answers and int(request.query.get("wait_ms", 0)):
+            await asyncio.Event().wait()
         return response
 
     @web.middleware
@@ -173,22 +228,30 @@
             response.headers[ERA_HEADER] = str(self.era)
         return response
 
+    def _seen(self, request: web.Request) -> Copy:
+        """Returns what a read shows."""
+        if "serializable" in request.query and self.stale_lag_s > 0:
+            try:
+                return self.copy_older_than(self.stale_lag_s)
+            except LookupError:
+                return self._copies[0][1] if self._copies else self.take_copy()
+        return self.take_copy()
+
     async def _list(self, request: web.Request) -> web.Response:
         kind = request.match_info["kind"]
         if "watch" in request.query:
             return await self._watch(request, kind)
+        seen = self._seen(request)
         after = request.query.get("after", "")
         names = sorted(
-            name
-            for k, name in self._object_by_key
-            if k == kind and name > after
+            name for k, name in seen.object_by_key if k == kind and name > after
         )
         page = names[:_PAGE]
         return web.json_response(
             {
-                "items": [self._object_by_key[kind, name] for name in page],
+                "items": [seen.object_by_key[kind, name] for name in page],
                 "more": len(names) > _PAGE,
-                "as_of": self._revision,
+                "as_of": seen.revision,
             }
         )
 
@@ -196,42 +259,36 @@
         since = int(request.query["watch"])
         wait_s = int(request.query.get("wait_ms", 0)) / 1000
         era = self.era
-        try:
+        seen = self._seen(request)
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_s), self._changed:
                 while (
                     era == self.era
-                    and self._has_history(since)
-                    and not self._since(kind, since)
+                    and seen.has_history(since)
+                    and not seen.since(kind, since)
                 ):
                     await self._changed.wait()
-        except TimeoutError:
-            return web.json_response({"events": [], "as_of": self._revision})
+                    seen = self._seen(request)
         if era != self.era:
+            if not self._cuts_watches:
+                await asyncio.Event().wait()
             if request.transport is not None:
                 request.transport.abort()
             return web.Response(status=503)
-        if not self._has_history(since):
+        # Stale data that has not reached the revision has no news of it.
+        is_behind = "serializable" in request.query and self.stale_lag_s > 0
+        if not seen.has_history(since) and not is_behind:
             return web.json_response({"error": "gone"}, status=410)
         return web.json_response(
             {
                 "events": [
                     {"object": c.document, "deleted": c.deleted}
-                    for c in self._since(kind, since)
+                    for c in seen.since(kind, since)
                 ],
-                "as_of": self._revision,
+                "as_of": seen.revision,
             }
         )
 
-    def _has_history(self, revision: int) -> bool:
-        return self._oldest <= revision <= self._revision
-
-    def _since(self, kind: str, revision: int) -> list[_Change]:
-        return [
-            change
-            for change in self._changes
-            if change.kind == kind and change.revision > revision
-        ]
-
     async def _create(self, request: web.Request) -> web.Response:
         kind = request.match_info["kind"]
         body = json.loads(await request.read())
