--- a/src/sassafrashold/standins/objects_store.py
+++ b/src/sassafrashold/standins/objects_store.py
@@ -36,6 +36,9 @@
     changes: tuple[_Change, ...]
     """The history up to the revision."""
 
+    oldest_revision: int
+    """Revision at which the history begins."""
+
 
 class ObjectsStore:
     """Keeps objects in memory and speaks the store's protocol.
@@ -126,6 +129,7 @@
             self._revision,
             copy.deepcopy(self._object_by_key),
             tuple(self._changes),
+            self._oldest,
         )
 
     async def restore(self, older: Copy) -> None:
@@ -138,6 +142,7 @@
         self._revision = older.revision
         self._object_by_key = copy.deepcopy(older.object_by_key)
         self._changes = list(older.changes)
+        self._oldest = older.oldest_revision
         async with self._changed:
             self._changed.notify_all()
 
--- a/tests/platform/platform_harness.py
+++ b/tests/platform/platform_harness.py
@@ -270,6 +270,10 @@
     async def publish_configuration(self) -> None:
         """Writes the configuration to the store under a higher version."""
         self.version += 3
+        await self.write_configuration()
+
+    async def write_configuration(self) -> None:
+        """Writes the configuration to the store under its version."""
         await self.store.put(
             "config",
             "main",
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -4,13 +4,16 @@
 
 All faults are injected from outside the processes and may overlap. Proxies in
 front of the store and the leafs delay, cut and reset connections. Signals
-suspend, end and restart processes. The store drops its history or becomes
-unavailable. Leafs become slow, reject requests, lose answers, send them twice,
-break them off, send bytes without end, or drain. Crowds of clients send heads
-and bodies without end and read nothing. Callers keep their connections open.
-Invariants are checked against the answers that callers received and the
-requests that leafs ran. A seed gives the same faults at the same times; the
-timing within the processes depends on the machine.
+suspend, end and restart processes. The store drops its history, becomes
+unavailable, or returns from an older copy, after which its writers write again
+what was lost. Leafs become slow, reject requests, lose answers, send them
+twice, break them off, send bytes without end, or leave. Crowds of clients send
+heads and bodies without end and read nothing. Callers keep their connections
+open. Invariants are checked against the answers that callers received and the
+requests that leafs ran; those on what the store acknowledged (soak_checks) are
+checked all the while, and in a calm time after the faults. A seed gives the
+same faults at the same times; the timing within the processes depends on the
+machine.
 """
 
 import asyncio
@@ -30,6 +33,8 @@
 
 import crowds
 import platform_harness
+import soak_checks
+import soak_writers
 
 from sassafrashold.standins import _proxy
 from sassafrashold.standins import records_leaf
@@ -43,6 +48,10 @@
 _PATH_BY_KIND = {"gather": "/all/x", "single": "/one/x", "once": "/once/x"}
 _STATUSES_WITHOUT_RUN = frozenset({408, 421, 429, 503})
 _RECOVERY_ROUNDS_PER_FRONT = 10
+_PROBE_PAUSE_S = 0.2
+# Longer than the stable window and a bound, so that both can be judged.
+_CALM_TIME_S = 9.0
+_REREAD_TIME_S = 2.0
 
 
 class Soak:
@@ -54,6 +63,7 @@
         seed: int,
         spoiled_answers: bool = True,
         misbehaving_clients: bool = True,
+        store_returns: bool = True,
     ) -> None:
         """Initializes the run.
 
@@ -64,12 +74,29 @@
                 seeds give the faults that they gave before this was added.
             misbehaving_clients: Whether crowds send too much and read nothing.
                 Without, as above.
+            store_returns: Whether the store returns from older copies, and
+                invariants on what it acknowledged are checked. Without, as
+                above.
         """
         self._harness = harness
         self._spoiled_answers = spoiled_answers
         self._misbehaving_clients = misbehaving_clients
         self._random = random.Random(seed)
-        self.violations: list[str] = []
+        # Callers take numbers at times that the seed doesn't fix.
+        self._caller_random = (
+            random.Random(f"{seed}/callers") if store_returns else self._random
+        )
+        clock = asyncio.get_running_loop().time
+        self._disruptions = soak_checks.Disruptions(clock)
+        self._checks = soak_checks.Checks(
+            clock, self._disruptions, harness.leafs
+        )
+        self._writers = (
+            soak_writers.Writers(harness, self._checks, seed)
+            if store_returns
+            else None
+        )
+        self.violations = self._checks.violations
         self.faults: list[str] = []
         self._sent_requests: list[tuple[str, str, int]] = []
         self._disrupted_fronts: set[int] = set()
@@ -81,28 +108,111 @@
             asyncio.create_task(self._run_caller(number, stop))
             for number in range(_CALLER_COUNT)
         ]
+        if self._writers is None:
+            await asyncio.gather(*await self._inject_faults(seconds))
+            await self._harness.publish_configuration()
+            await asyncio.sleep(_SETTLE_TIME_S)
+        else:
+            await self._run_with_returns(self._writers, seconds, stop)
+        stop.set()
+        await asyncio.gather(*callers)
+        self._check_runs()
+        await self._check_recovery()
+        if self._writers is not None:
+            await self._check_newest_version(self._writers)
+        self._check_memory()
+
+    def write_events(self, path: pathlib.Path) -> None:
+        """Writes faults, acknowledged changes and violations by time."""
+        path.write_text("\n".join(self._checks.events), encoding="utf-8")
+
+    async def _inject_faults(self, seconds: float) -> list[asyncio.Task[None]]:
+        """Injects faults for a time; returns those that may go on."""
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
         pending: list[asyncio.Task[None]] = []
         while loop.time() < end:
             pending.append(asyncio.create_task(self._inject_fault()))
             await asyncio.sleep(self._random.uniform(0.1, 0.8))
-        await asyncio.gather(*pending)
-        await self._harness.publish_configuration()
-        await asyncio.sleep(_SETTLE_TIME_S)
+        return pending
+
+    async def _run_with_returns(
+        self,
+        writers: soak_writers.Writers,
+        seconds: float,
+        stop: asyncio.Event,
+    ) -> None:
+        """Injects faults with a return, then only changes in a calm time."""
+        copies = asyncio.create_task(writers.keep_copies())
+        probers = [
+            asyncio.create_task(self._run_prober(writers, front, stop))
+            for front in range(len(self._harness.fronts))
+        ]
+        sure_return = asyncio.create_task(
+            self._return_store_after(self._random.uniform(1.0, seconds))
+        )
+        pending = await self._inject_faults(seconds)
+        loop = asyncio.get_running_loop()
+        end = loop.time() + _CALM_TIME_S
+        while loop.time() < end:
+            pending.append(asyncio.create_task(self._inject_change()))
+            await asyncio.sleep(self._random.uniform(0.3, 2.0))
+        await asyncio.gather(sure_return, *pending)
+        await writers.wait_for_rewrites()
+        await asyncio.sleep(_REREAD_TIME_S)
+        copies.cancel()
         stop.set()
-        await asyncio.gather(*callers)
-        self._check_runs()
-        await self._check_recovery()
-        self._check_memory()
+        await asyncio.gather(*probers)
+
+    async def _run_prober(
+        self,
+        writers: soak_writers.Writers,
+        front: int,
+        stop: asyncio.Event,
+    ) -> None:
+        """Requests paths of routes that changed lately, of one host."""
+        count = 0
+        while not stop.is_set():
+            count += 1
+            path = self._caller_random.choice(writers.probed_paths)
+            with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                await self._send_probe(f"p{front}-{count}", front, path)
+            await asyncio.sleep(_PROBE_PAUSE_S)
+
+    async def _send_probe(self, request_id: str, front: int, path: str) -> int:
+        name = self._harness.fronts[front].name
+        self._checks.note_probe(request_id, name, path)
+        async with asyncio.timeout(4):
+            answer = await self._harness.send_request(
+                f"{path}x", request_id, front=front, deadline_ms=1500
+            )
+        if answer.status == 404:
+            self._checks.check_refusal(request_id)
+        elif answer.status == 200:
+            self._check_answer("single", request_id, answer)
+        return answer.status
+
+    async def _check_newest_version(
+        self, writers: soak_writers.Writers
+    ) -> None:
+        for number, front in enumerate(self._harness.fronts):
+            for path in writers.probed_paths:
+                request_id = f"newest-{number}-{path.strip('/')}"
+                expected = 200 if path in writers.present_paths else 404
+                status = await self._send_probe(request_id, number, path)
+                if status != expected:
+                    self.violations.append(
+                        f"{request_id}: {front.name} answers {status}, not "
+                        f"{expected}, after recovery time"
+                    )
 
     async def _run_caller(self, number: int, stop: asyncio.Event) -> None:
         count = 0
         while not stop.is_set():
             count += 1
-            kind = self._random.choice(tuple(_PATH_BY_KIND))
+            kind = self._caller_random.choice(tuple(_PATH_BY_KIND))
             request_id = f"c{number}-{count}"
-            front = self._random.randrange(_FRONT_COUNT)
+            front = self._caller_random.randrange(len(self._harness.fronts))
             with contextlib.suppress(aiohttp.ClientError, TimeoutError):
                 await self._send_request(kind, request_id, front)
             await asyncio.sleep(_CALLER_PAUSE_S)
@@ -111,6 +221,7 @@
         self, kind: str, request_id: str, front: int
     ) -> bool:
         status = 0
+        self._checks.note_request(request_id, self._harness.fronts[front].name)
         try:
             async with asyncio.timeout(4):
                 answer = await self._harness.send_request(
@@ -185,7 +296,7 @@
                 )
 
     async def _check_recovery(self) -> None:
-        for front in range(_FRONT_COUNT):
+        for front in range(len(self._harness.fronts)):
             for number in range(_RECOVERY_ROUNDS_PER_FRONT):
                 for kind in _PATH_BY_KIND:
                     name = f"well-{front}-{number}"
@@ -224,12 +335,29 @@
         ]
         if self._misbehaving_clients:
             faults.append(self._send_crowd)
+        if self._writers is not None:
+            faults.append(self._return_store)
         fault = self._random.choice(faults)
         self.faults.append(fault.__name__)
+        self._checks.note(fault.__name__)
         await fault(self._random.uniform(0.2, 2.0))
 
+    async def _inject_change(self) -> None:
+        change = self._random.choice(
+            (
+                self._drain_leaf,
+                self._take_zone_out_of_service,
+                self._publish_configuration,
+                self._send_sighup,
+            )
+        )
+        self.faults.append(f"calm:{change.__name__}")
+        await change(self._random.uniform(0.2, 2.0))
+
     async def _inject_link_fault(self, seconds: float) -> None:
         link = self._random.choice(self._harness.links)
+        # The store's link of host h2 is store-2; other links lead to leafs.
+        target = link.name.replace("store-", "h")
         link.faults = self._random.choice(
             (
                 _proxy.Faults(delay_ms=60, jitter_ms=200),
@@ -240,10 +368,11 @@
                 _proxy.Faults(late_percent=20, late_ms=300),
             )
         )
-        if self._random.random() < 0.3:
-            link.disconnect()
-        await asyncio.sleep(seconds)
-        link.faults = _proxy.Faults()
+        with self._disruptions.disrupting(target):
+            if self._random.random() < 0.3:
+                link.disconnect()
+            await asyncio.sleep(seconds)
+            link.faults = _proxy.Faults()
 
     async def _inject_leaf_fault(self, seconds: float) -> None:
         leaf = self._random.choice(self._harness.leafs)
@@ -267,6 +396,10 @@
 
     async def _drain_leaf(self, seconds: float) -> None:
         leaf = self._random.choice(self._harness.leafs)
+        if self._writers is not None:
+            drains = self._random.random() < 0.5
+            await self._writers.let_leaf_leave(leaf, 3 * seconds, drains)
+            return
         await self._harness.put_leaf_entry(leaf, "draining")
         await asyncio.sleep(seconds)
         await self._harness.store.remove("servers", leaf.leaf_id)
@@ -275,21 +408,39 @@
 
     async def _take_zone_out_of_service(self, seconds: float) -> None:
         zone = self._random.choice(platform_harness.ZONES)
+        if self._writers is not None:
+            await self._writers.evacuate_zone(zone, 4 * seconds)
+            return
         await self._harness.store.put("evacuations", zone, {})
         await asyncio.sleep(seconds)
         await self._harness.store.remove("evacuations", zone)
 
     async def _make_store_unavailable(self, seconds: float) -> None:
         flag = self._random.choice(("away", "silent"))
-        setattr(self._harness.store, flag, True)
+        with self._disruptions.disrupting(soak_checks.STORE):
+            setattr(self._harness.store, flag, True)
+            await asyncio.sleep(seconds)
+            setattr(self._harness.store, flag, False)
+
+    async def _return_store(self, seconds: float) -> None:
+        assert self._writers is not None
+        age_s = soak_writers.random_age(self._random)
+        with self._disruptions.disrupting(soak_checks.STORE):
+            await self._writers.return_store(seconds / 2, age_s)
+
+    async def _return_store_after(self, seconds: float) -> None:
+        away_s = self._random.uniform(0.2, 2.0)
         await asyncio.sleep(seconds)
-        setattr(self._harness.store, flag, False)
+        await self._return_store(away_s)
 
     async def _drop_store_history(self, _seconds: float) -> None:
         await self._harness.store.forget_history()
 
     async def _publish_configuration(self, _seconds: float) -> None:
-        await self._harness.publish_configuration()
+        if self._writers is not None:
+            await self._writers.change_routes()
+        else:
+            await self._harness.publish_configuration()
 
     async def _kill_front(self, seconds: float) -> None:
         await self._restart_front(signal.SIGKILL, seconds)
@@ -304,10 +455,12 @@
         if index is None:
             return
         front = self._harness.fronts[index]
-        front.send_signal(number)
-        await front.wait_for_exit(10)
-        await asyncio.sleep(seconds / 4)
-        front.start()
+        with self._disruptions.disrupting(front.name):
+            front.send_signal(number)
+            await front.wait_for_exit(10)
+            await asyncio.sleep(seconds / 4)
+            self._checks.note_start(front.name)
+            front.start()
         await asyncio.sleep(0.5)
         self._disrupted_fronts.discard(index)
 
@@ -316,9 +469,10 @@
         if index is None:
             return
         front = self._harness.fronts[index]
-        front.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(seconds)
-        front.send_signal(signal.SIGCONT)
+        with self._disruptions.disrupting(front.name):
+            front.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(seconds)
+            front.send_signal(signal.SIGCONT)
         self._disrupted_fronts.discard(index)
 
     async def _send_sighup(self, _seconds: float) -> None:
@@ -345,7 +499,9 @@
 
     def _claim_front(self) -> int | None:
         available = [
-            i for i in range(_FRONT_COUNT) if i not in self._disrupted_fronts
+            i
+            for i in range(len(self._harness.fronts))
+            if i not in self._disrupted_fronts
         ]
         if len(available) < 2:
             return None
@@ -360,16 +516,23 @@
     folder: pathlib.Path,
     spoiled_answers: bool = True,
     misbehaving_clients: bool = True,
+    store_returns: bool = True,
+    fronts: int = _FRONT_COUNT,
 ) -> tuple[list[str], list[str]]:
     """Runs one seed; returns the violations and the injected faults."""
     async with platform_harness.PlatformHarness(
         folder,
-        fronts=_FRONT_COUNT,
+        fronts=fronts,
         proxied=True,
         host_limits=crowds.SMALL_HOST,
     ) as harness:
-        soak = Soak(harness, seed, spoiled_answers, misbehaving_clients)
-        await soak.run(seconds)
+        soak = Soak(
+            harness, seed, spoiled_answers, misbehaving_clients, store_returns
+        )
+        try:
+            await soak.run(seconds)
+        finally:
+            soak.write_events(folder / "events.txt")
         return soak.violations, soak.faults
 
 
@@ -379,12 +542,27 @@
 @click.option(
     "--seconds", default=8.0, help="Seconds of fault injection per seed."
 )
-def main(first: int, seeds: int, seconds: float) -> None:
+@click.option(
+    "--fronts", default=_FRONT_COUNT, help="Number of front processes."
+)
+@click.option(
+    "--logs",
+    type=click.Path(path_type=pathlib.Path),
+    default=pathlib.Path(tempfile.gettempdir()),
+    help="Folder for the logs of each seed.",
+)
+def main(
+    first: int, seeds: int, seconds: float, fronts: int, logs: pathlib.Path
+) -> None:
     """Runs seeds one after the other; prints the log folders of failures."""
     failed = 0
     for seed in range(first, first + seeds):
-        folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        violations, faults = asyncio.run(run_seed(seed, seconds, folder))
+        folder = pathlib.Path(
+            tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=logs)
+        )
+        violations, faults = asyncio.run(
+            run_seed(seed, seconds, folder, fronts=fronts)
+        )
         click.echo(
             f"seed {seed}: {len(faults)} faults, violations: {violations[:5]}"
         )
