--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -49,8 +49,10 @@
 _STATUSES_WITHOUT_RUN = frozenset({408, 421, 429, 503})
 _RECOVERY_ROUNDS_PER_FRONT = 10
 _PROBE_PAUSE_S = 0.2
-# Longer than the stable window and a bound, so that both can be judged.
-_CALM_TIME_S = 9.0
+_FIRST_TIME_S = 0.6
+# Longer than what is left of faults and the stable window.
+_QUIET_TIME_S = 6.5
+_CALM_TIME_S = 3.0
 _REREAD_TIME_S = 2.0
 
 
@@ -81,6 +83,7 @@
         self._harness = harness
         self._spoiled_answers = spoiled_answers
         self._misbehaving_clients = misbehaving_clients
+        self._seed = seed
         self._random = random.Random(seed)
         # Callers take numbers at times that the seed doesn't fix.
         self._caller_random = (
@@ -148,16 +151,22 @@
             asyncio.create_task(self._run_prober(writers, front, stop))
             for front in range(len(self._harness.fronts))
         ]
-        sure_return = asyncio.create_task(
-            self._return_store_after(self._random.uniform(1.0, seconds))
+        changes = asyncio.create_task(
+            self._inject_changes(seconds, soak_writers.CLOSE_CHANGES)
         )
         pending = await self._inject_faults(seconds)
-        loop = asyncio.get_running_loop()
-        end = loop.time() + _CALM_TIME_S
-        while loop.time() < end:
-            pending.append(asyncio.create_task(self._inject_change()))
-            await asyncio.sleep(self._random.uniform(0.3, 2.0))
-        await asyncio.gather(sure_return, *pending)
+        pending += await changes
+        # What is written now may get revisions that hosts have seen. Nothing
+        # later brings it to them until it can be judged.
+        await self._return_store(self._random.uniform(0.2, 2.0))
+        pending += await self._inject_changes(
+            _FIRST_TIME_S, soak_writers.FIRST_CHANGES
+        )
+        await asyncio.sleep(_QUIET_TIME_S)
+        pending += await self._inject_changes(
+            _CALM_TIME_S, soak_writers.CALM_CHANGES
+        )
+        await asyncio.gather(*pending)
         await writers.wait_for_rewrites()
         await asyncio.sleep(_REREAD_TIME_S)
         copies.cancel()
@@ -342,17 +351,29 @@
         self._checks.note(fault.__name__)
         await fault(self._random.uniform(0.2, 2.0))
 
-    async def _inject_change(self) -> None:
-        change = self._random.choice(
-            (
-                self._drain_leaf,
-                self._take_zone_out_of_service,
-                self._publish_configuration,
-                self._send_sighup,
+    async def _inject_changes(
+        self, seconds: float, series: soak_writers.Series
+    ) -> list[asyncio.Task[None]]:
+        """Makes changes for a time; returns those that may go on."""
+        generator = random.Random(f"{self._seed}/{series.name}")
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        pending: list[asyncio.Task[None]] = []
+        while loop.time() < end:
+            (change,) = generator.choices(
+                (
+                    self._publish_configuration,
+                    self._drain_leaf,
+                    self._take_zone_out_of_service,
+                    self._send_sighup,
+                ),
+                series.weights,
             )
-        )
-        self.faults.append(f"calm:{change.__name__}")
-        await change(self._random.uniform(0.2, 2.0))
+            self._checks.note(f"{series.name} change: {change.__name__}")
+            length_s = generator.uniform(series.min_length_s, 2.0)
+            pending.append(asyncio.create_task(change(length_s)))
+            await asyncio.sleep(generator.uniform(0.1, series.max_pause_s))
+        return pending
 
     async def _inject_link_fault(self, seconds: float) -> None:
         link = self._random.choice(self._harness.links)
@@ -428,11 +449,6 @@
         with self._disruptions.disrupting(soak_checks.STORE):
             await self._writers.return_store(seconds / 2, age_s)
 
-    async def _return_store_after(self, seconds: float) -> None:
-        away_s = self._random.uniform(0.2, 2.0)
-        await asyncio.sleep(seconds)
-        await self._return_store(away_s)
-
     async def _drop_store_history(self, _seconds: float) -> None:
         await self._harness.store.forget_history()
 
--- a/tests/platform/soak_writers.py
+++ b/tests/platform/soak_writers.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 import random
 
 import platform_harness
@@ -23,6 +24,28 @@
 _PROBED_REMOVED_PATHS = 4
 
 
+@dataclasses.dataclass(frozen=True)
+class Series:
+    """Changes that the operator and the leafs make one after the other."""
+
+    name: str
+    """Name for the log."""
+
+    weights: tuple[int, ...]
+    """Weights of versions, leavings, evacuations and SIGHUP."""
+
+    min_length_s: float
+    """Least length; leavings last three times as long, evacuations four."""
+
+    max_pause_s: float
+    """Longest pause between two."""
+
+
+CLOSE_CHANGES = Series("close", (6, 3, 1, 0), 0.2, 0.6)
+FIRST_CHANGES = Series("first", (3, 5, 2, 0), 1.9, 0.3)
+CALM_CHANGES = Series("calm", (3, 4, 2, 1), 1.2, 1.0)
+
+
 class Writers:
     """Writes changes, and writes them again after a return of the store."""
 
@@ -107,8 +130,8 @@
         await self._write_leaf(leaf)
 
     async def evacuate_zone(self, zone: str, seconds: float) -> None:
-        """Takes a zone out of service for a time."""
-        if zone in self._zones_out:
+        """Takes a zone out of service for a time, unless one is out."""
+        if self._zones_out:
             return
         self._zones_out.add(zone)
         await self._write_zone(zone)
