End a lost long poll before the store counts as stable

Cause: the call waits 3.5 s, its allowance was 1 s, and a backoff came on top.

Change: the polls for configuration and leafs wait 3.25 s with an allowance of 0.6 s, and a call that took longer than the backoff is made again at once. The poll for zones waits 4.2 s, as an evacuation is due after 5 s; so the calls a second stay what they were (0.85 a reading host).

--- a/src/sassafrashold/front/_follower.py
+++ b/src/sassafrashold/front/_follower.py
@@ -12,12 +12,6 @@
 from sassafrashold.front import _interfaces
 
 _LOGGER = logging.getLogger(__name__)
-# A long poll that the store has lost looks like one that waits. Changes go
-# unnoticed until it ends, so it ends before hosts must know of leafs that
-# drain: 5.2 s after an outage (4 s until the store counts as stable, and 1.2 s
-# of 3 s of draining, as for 1.8 s such a leaf may be a last resort). Longer
-# polls would make fewer calls, each of which has a cost.
-_LONG_POLL_TIMEOUT = datetime.timedelta(seconds=3.5)
 # Probes accept answers that are seconds old and cost a tenth of a normal call.
 # A failed probe shows an outage; a probe that finds the history dropped shows
 # that pending long polls will not get any changes.
@@ -141,6 +135,7 @@
         health: StoreHealth,
         on_batch: Callable[[str, relay.Batch], None],
         on_history_gone: Callable[[], None],
+        long_poll_timeout: datetime.timedelta,
         batching_delay: datetime.timedelta,
         eras: relay.LatestEra,
     ) -> None:
@@ -154,6 +149,7 @@
             on_history_gone: Called when the store has dropped changes that
                 this follower has not read; other topics may have missed
                 changes too.
+            long_poll_timeout: How long the store holds a call for changes.
             batching_delay: Time between two calls, so that one call returns
                 several changes that are written in a burst.
             eras: Tells when the copy is of an earlier era of the store.
@@ -163,6 +159,7 @@
         self._health = health
         self._on_batch = on_batch
         self._on_history_gone = on_history_gone
+        self._long_poll_timeout = long_poll_timeout
         self._batching_delay = batching_delay
         self._eras = eras
         self._read_task: asyncio.Task[bool] | None = None
@@ -187,6 +184,7 @@
         # Without a successful long poll in between.
         histories_gone = 0
         while True:
+            began_at = asyncio.get_running_loop().time()
             self._read_task = asyncio.create_task(self._read_once())
             try:
                 polled_changes = await self._read_task
@@ -228,7 +226,11 @@
                             "cause": error.message,
                         },
                     )
-                await asyncio.sleep(_BACKOFF.delay(failures).total_seconds())
+                # Counted from the start of the call: one that was given up
+                # after seconds is made again at once.
+                call_s = asyncio.get_running_loop().time() - began_at
+                delay_s = _BACKOFF.delay(failures).total_seconds()
+                await asyncio.sleep(max(delay_s - call_s, 0.0))
                 # A single failure may be a long poll that was cut off while the
                 # store is available.
                 if failures >= _FAILURES_UNTIL_UNAVAILABLE:
@@ -260,7 +262,7 @@
             self._needs_snapshot = False
             self._on_batch(self._topic.name, batch)
             return False
-        batch = await self._topic.changes(position, _LONG_POLL_TIMEOUT)
+        batch = await self._topic.changes(position, self._long_poll_timeout)
         self._on_batch(self._topic.name, batch)
         await asyncio.sleep(self._batching_delay.total_seconds())
         return True
--- a/src/sassafrashold/front/_sourcing.py
+++ b/src/sassafrashold/front/_sourcing.py
@@ -52,6 +52,13 @@
 _SEED_COPY_INTERVAL = datetime.timedelta(milliseconds=500)
 _NO_WAIT = datetime.timedelta()
 _CONFIGURATION_BATCHING_DELAY = datetime.timedelta(milliseconds=50)
+# A long poll whose answer is lost looks like one that waits, until it ends and
+# the round trip is over. Longer polls would make fewer calls, each of which has
+# a cost. Hosts must know of versions and of leafs that drain as soon as the
+# store counts as stable, 4 s after its last lost answer.
+_LONG_POLL_TIMEOUT = datetime.timedelta(milliseconds=3250)
+# They must know of zones out of service 5 s after the operator.
+_ZONES_LONG_POLL_TIMEOUT = datetime.timedelta(milliseconds=4200)
 # For each kind of line about a new era or missed changes; a store that changes
 # its era in a loop must not fill the log.
 _MAX_STORE_LINES_PER_SECOND = 5
@@ -121,13 +128,22 @@
                 self.health,
                 view.apply_batch,
                 self._restart_from_snapshots,
+                long_poll_timeout,
                 batching_delay,
                 topics.eras,
             )
-            for topic, batching_delay in (
-                (topics.configuration, _CONFIGURATION_BATCHING_DELAY),
-                (topics.leafs, _LEAF_BATCHING_DELAY),
-                (topics.zones_out, _CONFIGURATION_BATCHING_DELAY),
+            for topic, long_poll_timeout, batching_delay in (
+                (
+                    topics.configuration,
+                    _LONG_POLL_TIMEOUT,
+                    _CONFIGURATION_BATCHING_DELAY,
+                ),
+                (topics.leafs, _LONG_POLL_TIMEOUT, _LEAF_BATCHING_DELAY),
+                (
+                    topics.zones_out,
+                    _ZONES_LONG_POLL_TIMEOUT,
+                    _CONFIGURATION_BATCHING_DELAY,
+                ),
             )
         )
 
--- a/src/sassafrashold/front/tests/test_store_follower.py
+++ b/src/sassafrashold/front/tests/test_store_follower.py
@@ -73,6 +73,7 @@
             health,
             record_batch,
             restart_all,
+            datetime.timedelta(seconds=3),
             datetime.timedelta(),
             relay.LatestEra(),
         )
--- a/src/sassafrashold/platform/store_client.py
+++ b/src/sassafrashold/platform/store_client.py
@@ -20,11 +20,11 @@
 _LOGGER = logging.getLogger(__name__)
 # The store answers in milliseconds; a call that takes this long is lost.
 _CALL_TIMEOUT = datetime.timedelta(milliseconds=1200)
-# Allowance for the round trip, added to the wait of a watch.
-_WATCH_ROUND_TRIP_ALLOWANCE = datetime.timedelta(seconds=1)
-# The same for a watch that accepts stale data: the store answers within 0.25 s
-# even when it is 60 times slower than usual, and a host that is cut off from
-# the store has to notice soon.
+# Allowance for the round trip, added to the wait of a watch: the store answers
+# within 0.25 s even when it is 60 times slower than usual, and a host whose
+# answer is lost has to notice soon.
+_WATCH_ROUND_TRIP_ALLOWANCE = datetime.timedelta(milliseconds=600)
+# The same for a watch that accepts stale data.
 _STALE_WATCH_ROUND_TRIP_ALLOWANCE = datetime.timedelta(milliseconds=700)
 _STATUS_HISTORY_GONE = 410
 _STATUS_CONFLICT = 409
