Show in the line of a request what the host knew

Cause: the line of a request without a route had no version, and no line said how old the host's copy of the configuration was.

Change: the daemon passes the view's knowledge to the request log, so each line has `configuration`, `copy` and `copy_age_ms`; it passes its clock to the limits of lines about returns.

--- a/src/sassafrashold/front/_daemon.py
+++ b/src/sassafrashold/front/_daemon.py
@@ -146,7 +146,10 @@
             protocol, clock, values.max_answer_bytes
         )
         self._metrics = _metrics.FrontMetrics()
-        self._log = _request_log.RequestLog(clock)
+        self._view = _view.View(
+            topics, self._table, self._directory, self._state, self._pool, clock
+        )
+        self._log = _request_log.RequestLog(clock, self._view.knowledge)
         self._view_complete = asyncio.Event()
         self._client_memory = _client_memory.ClientMemory(
             values.max_client_bytes, clock
@@ -180,9 +183,6 @@
             clock,
             ends_connections=lambda: self._state.zone_failover.active,
         )
-        self._view = _view.View(
-            topics, self._table, self._directory, self._state, self._pool, clock
-        )
         self._peer_http = _peer_http.PeerHttp()
         self._health = _health_sharing.HealthSharing(
             values.host, self._state, self._peer_http, clock
@@ -193,6 +193,7 @@
             _peers.PeerClient(self._view, self._peer_http),
             [seed for seed in values.seeds if seed != values.peer_address],
             random_source,
+            clock,
         )
         self._peer_server = _peers.PeerServer(
             self._view,
--- a/src/sassafrashold/logs/_reports.py
+++ b/src/sassafrashold/logs/_reports.py
@@ -17,6 +17,7 @@
         "store lost",
         "store is back",
         "store has dropped its history; reading all",
+        "store has returned from an older copy; reading all",
         "zones out of service changed",
         "leafs listed",
         "reading the store",
--- a/tests/platform/test_stale_copies_are_told_apart.py
+++ b/tests/platform/test_stale_copies_are_told_apart.py
@@ -106,6 +106,21 @@
         assert {line["source"] for line in changes} == {"store"}
 
 
+# The line of a request without a route had no version.
+async def test_request_line_shows_what_the_host_knew(tmp_path):
+    async with platform_harness.PlatformHarness(tmp_path) as harness:
+        await harness.send_request("/none/x", "r1")
+        await harness.send_request("/one/x", "r2")
+        front = harness.fronts[0]
+        lines = _lines(front, "request ended")
+        changes = _lines(front, "configuration in force")
+    assert [line["outcome"] for line in lines] == ["no_route", "served"]
+    for line in lines:
+        assert line["configuration"] == changes[-1]["configuration"]
+        assert line["copy"].startswith(f"{harness.store.era}.")
+        assert 0 <= line["copy_age_ms"] <= 3700
+
+
 async def test_copy_of_another_host_shows_the_host(tmp_path):
     async with platform_harness.PlatformHarness(
         tmp_path, fronts=2, proxied=True
