--- a/tests/platform/test_store_return_troubles.py
+++ b/tests/platform/test_store_return_troubles.py
@@ -531,8 +531,10 @@
     await platform.wait_until_it_knows_others(1)
     older = platform.store.take_copy()
     source, follower = platform.harness.fronts
-    link = platform.store_link(1)
+    source_link, link = platform.store_link(0), platform.store_link(1)
     source.send_signal(signal.SIGSTOP)
+    # Nothing of this waits in the buffers of the source.
+    source_link.faults = _proxy.Faults(cut="both")
     try:
         await platform.write_entries(5)
 
@@ -542,6 +544,8 @@
         assert await _last(missed, _now() + 3.0) == []
         link.faults = _proxy.Faults(refuse=True)
         link.disconnect()
+        source_link.disconnect()
+        source_link.faults = _proxy.Faults()
         await platform.store.restore(older)
         await platform.write_entries()
         await platform.pass_old_revisions()
