Let a test of starting hosts wait for their copies, not 0.3 s

The test failed once in 7 runs beside load. Trace: 4 ms of processor time in each poll make it fail each time, as 38 hosts in one process then take longer than the sleep; no host had asked the store. It now waits for the condition, up to the 3 s after which hosts without a copy read the store, and checks as before that none did.

--- a/src/sassafrashold/front/tests/test_zone_without_store.py
+++ b/src/sassafrashold/front/tests/test_zone_without_store.py
@@ -346,9 +346,11 @@
     zone = _Zone(_without_store(), complete=False)
     await asyncio.sleep(0.15)
     zone.recover()
-    await asyncio.sleep(0.3)
+    # Without a copy for longer, hosts read the store.
+    await _waiting.until(
+        lambda: all(view.is_complete for view in zone.views), "all copies", 3
+    )
     await zone.close()
-    assert all(view.is_complete for view in zone.views)
     assert not zone.store.hosts
 
 
