--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -13,6 +13,8 @@
     (34, 6.0, True, True, False),
     # Hosts kept their places in the store's changes as bare revisions.
     (1, 6.0, True, True, True),
+    # A zone that was taken back right after a return was kept out of service.
+    (2, 6.0, True, True, True),
     # SIGHUP ended a process that was still starting.
     (1008, 6.0, False, False, False),
     (1049, 6.0, False, False, False),
