--- a/src/sassafrashold/standins/objects_store.py
+++ b/src/sassafrashold/standins/objects_store.py
@@ -275,7 +275,7 @@
             if request.transport is not None:
                 request.transport.abort()
             return web.Response(status=503)
-        # Stale data that has not reached the revision has no news of it.
+        # Stale data that has not reached the revision shows nothing after it.
         is_behind = "serializable" in request.query and self.stale_lag_s > 0
         if not seen.has_history(since) and not is_behind:
             return web.json_response({"error": "gone"}, status=410)
--- a/tests/platform/test_store_return_troubles.py
+++ b/tests/platform/test_store_return_troubles.py
@@ -350,7 +350,7 @@
     await platform.assert_followed(_now() + _STABLE_WINDOW_S)
 
 
-# Guards against hosts that take stale reads of the lost history for news.
+# Guards against hosts that apply stale reads of the lost history.
 async def test_changes_are_followed_while_stale_reads_show_the_lost_history(
     platform,
 ):
